Add design page, table model, internal protocol and test scripts

Cause: the project had no code; every part needs the shared table model, call context and connection layer before it can be written.

--- /dev/null
+++ b/src/coltsfootspar/calls/__init__.py
@@ -0,0 +1,33 @@
+"""Requests, replies and the context that travels with them."""
+
+from coltsfootspar.calls.context import (
+    CallContext,
+    ContextStore,
+    Priority,
+    create_context_store,
+    hash_priority_bucket,
+)
+from coltsfootspar.calls.messages import (
+    CallReply,
+    CallRequest,
+    Header,
+    Outcome,
+    OverloadSignal,
+    Refusal,
+    find_header,
+)
+
+__all__ = [
+    "CallContext",
+    "CallReply",
+    "CallRequest",
+    "ContextStore",
+    "Header",
+    "Outcome",
+    "OverloadSignal",
+    "Priority",
+    "Refusal",
+    "create_context_store",
+    "find_header",
+    "hash_priority_bucket",
+]
--- /dev/null
+++ b/src/coltsfootspar/calls/context.py
@@ -0,0 +1,175 @@
+"""Context of a request: what every hop of its call tree has to know."""
+
+import itertools
+
+import attrs
+import trio
+import xxhash
+
+__all__ = [
+    "CallContext",
+    "ContextStore",
+    "PRIORITY_BUCKETS",
+    "Priority",
+    "create_context_store",
+    "hash_priority_bucket",
+]
+
+PRIORITY_BUCKETS = 128
+
+
+@attrs.frozen(order=True)
+class Priority:
+    """Order in which requests are kept under overload; larger is kept longer.
+
+    :param importance: the row's importance from the table, 0 to 9.
+    :param bucket: hash of the trace id, 0 to ``PRIORITY_BUCKETS - 1``, equal
+        for all calls of one request.
+    """
+
+    importance: int
+    bucket: int
+
+
+@attrs.frozen
+class CallContext:
+    """Data that travels with all calls of one request.
+
+    :param trace_id: W3C trace id, 32 hexadecimal digits.
+    :param parent_span_id: W3C span id of the sender, 16 hexadecimal digits.
+    :param deadline: time on the trio clock of this process, seconds.
+    :param priority: order of the request under overload.
+    :param allowance: retries that this call and the calls below it may spend.
+    :param depth: hops above this one; 0 at the entry of the call graph.
+    :param is_client_retry: true when the client is known to have retried.
+    :param idempotency_key: the client's key, or None.
+    :param row_key: key of the row that the request matched at the entry.
+    :param entry_id: node at which the request entered.
+    """
+
+    trace_id: str
+    parent_span_id: str
+    deadline: float
+    priority: Priority
+    allowance: int
+    depth: int = 0
+    is_client_retry: bool = False
+    idempotency_key: str | None = None
+    row_key: str = ""
+    entry_id: str = ""
+
+    @property
+    def is_started(self) -> bool:
+        """True for a call below the entry: work for the request has begun."""
+        return self.depth > 0
+
+    def compute_remaining(self) -> float:
+        """Computes the time left until the deadline.
+
+        :returns: seconds, negative when it has passed.
+        """
+        return self.deadline - trio.current_time()
+
+
+def hash_priority_bucket(trace_id: str) -> int:
+    """Maps a trace id to a priority bucket.
+
+    :param trace_id: W3C trace id.
+    :returns: 0 to ``PRIORITY_BUCKETS - 1``.
+
+    >>> hash_priority_bucket("0" * 32) == hash_priority_bucket("0" * 32)
+    True
+    """
+    return xxhash.xxh64_intdigest(trace_id.encode()) % PRIORITY_BUCKETS
+
+
+@attrs.define(eq=False)
+class _Entry:
+    context: CallContext
+    spendable: int
+    calls: int = 0
+
+
+@attrs.define(eq=False)
+class ContextStore:
+    """Contexts of the calls that the own backend server is working on.
+
+    The backend server passes on only ``traceparent``. Its outgoing calls find
+    their context here by trace id. Several calls of one request may run at the
+    backend server at once; they share the allowance that is left.
+    """
+
+    _entries: dict[str, list[_Entry]] = attrs.field(factory=dict)
+
+    def __len__(self) -> int:
+        return sum(len(entries) for entries in self._entries.values())
+
+    def add(self, context: CallContext) -> "_Entry":
+        """Records a call handed to the backend server.
+
+        :returns: a handle for :meth:`remove`.
+        """
+        entry = _Entry(context, context.allowance)
+        self._entries.setdefault(context.trace_id, []).append(entry)
+        return entry
+
+    def remove(self, entry: "_Entry") -> int:
+        """Forgets a call that has ended.
+
+        :returns: the allowance that the calls below it left unused.
+        """
+        entries = self._entries.get(entry.context.trace_id, [])
+        if entry in entries:
+            entries.remove(entry)
+        if not entries:
+            self._entries.pop(entry.context.trace_id, None)
+        return entry.spendable
+
+    def find(self, trace_id: str, parent_span_id: str = "") -> "_Entry | None":
+        """Finds the context for an outgoing call of the backend server.
+
+        :param parent_span_id: span id sent by the backend server; it selects
+            among several calls of one trace, else the latest one applies.
+        """
+        entries = self._entries.get(trace_id)
+        if not entries:
+            return None
+        for entry in entries:
+            if entry.context.parent_span_id == parent_span_id:
+                return entry
+        return entries[-1]
+
+    def draw_allowance(self, entry: "_Entry") -> int:
+        """Takes the share of the allowance for one outgoing call.
+
+        The first call gets half of what is left, rounded up, so that a parallel
+        call still finds some; what is unused comes back with the reply.
+        """
+        share = (entry.spendable + 1) // 2
+        entry.spendable -= share
+        entry.calls += 1
+        return share
+
+    def return_allowance(self, entry: "_Entry", unused: int) -> None:
+        """Gives back the unused part of a drawn share."""
+        entry.spendable += unused
+
+    def drop_expired(self, now: float) -> int:
+        """Forgets calls whose deadline has passed.
+
+        :param now: trio clock, seconds.
+        :returns: how many were forgotten.
+        """
+        expired = [
+            entry
+            for entry in itertools.chain.from_iterable(self._entries.values())
+            if entry.context.deadline < now
+        ]
+        for entry in expired:
+            self.remove(entry)
+        return len(expired)
+
+
+def create_context_store() -> ContextStore:
+    """Creates an empty context store."""
+    return ContextStore()
--- /dev/null
+++ b/src/coltsfootspar/exceptions.py
@@ -0,0 +1,287 @@
+"""Error classes of all layers.
+
+Each layer has its own base class. A layer that catches an error of the layer
+below raises one of its own ``from`` it. Every error has a ``code``, which is
+part of the documented interface: it appears in HTTP headers, in logs and in the
+exit message of the programs.
+"""
+
+__all__ = [
+    "ColtsfootsparError",
+    "SettingsError",
+    "TableError",
+    "CellError",
+    "ConflictError",
+    "WireError",
+    "FrameError",
+    "HandshakeError",
+    "LinkError",
+    "AdmissionError",
+    "RefusedError",
+    "BackendError",
+    "RoutingError",
+    "NoCandidateError",
+    "AttemptsExhaustedError",
+    "DeadlineError",
+    "MembershipError",
+    "StorageError",
+    "CorruptLogError",
+    "ReplicationError",
+    "NotLeaderError",
+    "NoQuorumError",
+    "ClaimError",
+    "WebError",
+    "MalformedRequestError",
+    "TooLargeError",
+    "BenchError",
+]
+
+
+class ColtsfootsparError(Exception):
+    """Base class of all errors.
+
+    :param message: text for people, without a trailing period.
+    :param code: stable identifier; the class attribute applies when omitted.
+    """
+
+    code = "internal"
+
+    def __init__(self, message: str, *, code: str | None = None):
+        super().__init__(message)
+        if code is not None:
+            self.code = code
+
+
+class SettingsError(ColtsfootsparError):
+    """One or more settings are missing or outside their range.
+
+    :param problems: one line for each problem, each naming its key.
+    """
+
+    code = "settings"
+
+    def __init__(self, problems: list[str]):
+        super().__init__("\n".join(problems))
+        self.problems = problems
+
+
+class TableError(ColtsfootsparError):
+    """The table or an edit of it is not valid."""
+
+    code = "table"
+
+
+class CellError(TableError):
+    """A cell value has the wrong type or is outside its range."""
+
+    code = "cell-value"
+
+
+class ConflictError(TableError):
+    """The expected version of a cell is not its present version.
+
+    :param value: present value of the cell.
+    :param version: present version of the cell.
+    """
+
+    code = "conflict"
+
+    def __init__(self, message: str, *, value: object, version: int):
+        super().__init__(message)
+        self.value = value
+        self.version = version
+
+
+class WireError(ColtsfootsparError):
+    """Base class of the errors of the inner protocol."""
+
+    code = "wire"
+
+
+class FrameError(WireError):
+    """A frame or datagram is malformed or larger than allowed."""
+
+    code = "frame"
+
+
+class HandshakeError(WireError):
+    """The peer is not of this deployment or shares no protocol version."""
+
+    code = "handshake"
+
+
+class LinkError(WireError):
+    """A peer could not be reached or its connection ended.
+
+    :param may_have_run: true once the request may have reached the peer.
+    """
+
+    code = "link"
+
+    def __init__(self, message: str, *, may_have_run: bool, code: str | None = None):
+        super().__init__(message, code=code)
+        self.may_have_run = may_have_run
+
+
+class AdmissionError(ColtsfootsparError):
+    """Base class of the errors of admission."""
+
+    code = "admission"
+
+
+class RefusedError(AdmissionError):
+    """A request was refused before it ran.
+
+    :param retry_after: time after which a new try makes sense, seconds.
+    :param below: true when the refusal comes from deeper in the call tree.
+    """
+
+    code = "overload"
+
+    def __init__(
+        self,
+        message: str,
+        *,
+        code: str | None = None,
+        retry_after: float = 1.0,
+        below: bool = False,
+    ):
+        super().__init__(message, code=code)
+        self.retry_after = retry_after
+        self.below = below
+
+
+class BackendError(ColtsfootsparError):
+    """The backend server did not give a whole answer.
+
+    :param may_have_run: false only when no byte of the request can have
+        reached the backend server.
+    """
+
+    code = "backend"
+
+    def __init__(self, message: str, *, may_have_run: bool, code: str | None = None):
+        super().__init__(message, code=code)
+        self.may_have_run = may_have_run
+
+
+class RoutingError(ColtsfootsparError):
+    """A call got no whole answer from any backend server.
+
+    :param may_have_run: false only when no attempt can have run.
+    """
+
+    code = "routing"
+
+    def __init__(
+        self, message: str, *, may_have_run: bool = False, code: str | None = None
+    ):
+        super().__init__(message, code=code)
+        self.may_have_run = may_have_run
+
+
+class NoCandidateError(RoutingError):
+    """No reachable backend server offers the service."""
+
+    code = "no-backend-server"
+
+
+class AttemptsExhaustedError(RoutingError):
+    """The last attempt that the allowance or the budget permits has failed."""
+
+    code = "attempts-exhausted"
+
+
+class DeadlineError(RoutingError):
+    """The deadline of the request passed before a whole answer arrived."""
+
+    code = "deadline"
+
+
+class MembershipError(ColtsfootsparError):
+    """The member list cannot be joined or read."""
+
+    code = "membership"
+
+
+class StorageError(ColtsfootsparError):
+    """The data folder cannot be read or written."""
+
+    code = "storage"
+
+
+class CorruptLogError(StorageError):
+    """A record inside the log or a snapshot is damaged.
+
+    :param path: file that holds the record.
+    :param offset: position of the record, bytes.
+    """
+
+    code = "corrupt-log"
+
+    def __init__(self, message: str, *, path: str, offset: int):
+        super().__init__(message)
+        self.path = path
+        self.offset = offset
+
+
+class ReplicationError(ColtsfootsparError):
+    """Base class of the errors of the replicated state."""
+
+    code = "replication"
+
+
+class NotLeaderError(ReplicationError):
+    """The replica is not the leader.
+
+    :param leader_id: replica believed to be the leader, or None.
+    """
+
+    code = "not-leader"
+
+    def __init__(self, message: str, *, leader_id: str | None):
+        super().__init__(message)
+        self.leader_id = leader_id
+
+
+class NoQuorumError(ReplicationError):
+    """No majority of the replicas answered in time.
+
+    :param may_have_run: true when the command may still be committed.
+    """
+
+    code = "no-quorum"
+
+    def __init__(self, message: str, *, may_have_run: bool):
+        super().__init__(message)
+        self.may_have_run = may_have_run
+
+
+class ClaimError(ColtsfootsparError):
+    """An at-most-once request may not be run."""
+
+    code = "claim"
+
+
+class WebError(ColtsfootsparError):
+    """Base class of the errors of the HTTP layer."""
+
+    code = "web"
+
+
+class MalformedRequestError(WebError):
+    """The peer does not speak valid HTTP."""
+
+    code = "malformed-http"
+
+
+class TooLargeError(WebError):
+    """Headers or body are larger than the settings allow."""
+
+    code = "too-large"
+
+
+class BenchError(ColtsfootsparError):
+    """A scenario is not valid or a measurement could not be made."""
+
+    code = "bench"
--- /dev/null
+++ b/src/coltsfootspar/table/rows.py
@@ -0,0 +1,121 @@
+"""Rows and the table as immutable values."""
+
+import re
+from collections.abc import Mapping
+from types import MappingProxyType
+
+import attrs
+
+from coltsfootspar.exceptions import TableError
+from coltsfootspar.table.columns import COLUMNS, CellValue, Execution
+
+__all__ = ["Row", "RowKey", "Table", "create_row", "create_table", "parse_row_key"]
+
+_SERVICE = re.compile(r"[a-z0-9][a-z0-9-]{0,62}")
+_METHOD = re.compile(r"[A-Z]{1,16}|\*")
+_PATTERN = re.compile(r"/\S{0,511}")
+
+
+@attrs.frozen
+class RowKey:
+    """What a row applies to.
+
+    :param service: name of the service.
+    :param method: HTTP method, or ``*`` for any.
+    :param pattern: path; ``{name}`` stands for one segment, a last ``*`` for
+        all remaining segments.
+    """
+
+    service: str
+    method: str
+    pattern: str
+
+    def __str__(self) -> str:
+        return f"{self.service} {self.method} {self.pattern}"
+
+
+def parse_row_key(text: str) -> RowKey:
+    """Parses the text form of a row key.
+
+    :raises TableError: when a part is missing or malformed.
+
+    >>> parse_row_key("specs GET /specs/{id}").method
+    'GET'
+    """
+    parts = text.split(" ")
+    if len(parts) != 3:
+        raise TableError(
+            f"row {text!r}: expected 'service METHOD /path/pattern'", code="row-key"
+        )
+    for part, form, noun in zip(
+        parts,
+        (_SERVICE, _METHOD, _PATTERN),
+        ("service", "method", "path pattern"),
+        strict=True,
+    ):
+        if not form.fullmatch(part):
+            raise TableError(
+                f"row {text!r}: {part!r} is not a valid {noun}", code="row-key"
+            )
+    return RowKey(*parts)
+
+
+@attrs.frozen
+class Row:
+    """One kind of request with its cells.
+
+    :param versions: version of each cell: the log index of its last change.
+    """
+
+    key: RowKey
+    weight: int
+    importance: int
+    execution: Execution
+    deadline_ms: int
+    retries: int
+    rate_limit: float
+    concurrency_limit: int
+    versions: Mapping[str, int] = attrs.field(eq=True)
+    name: str = ""
+
+    def get_value(self, column: str) -> CellValue:
+        """Returns the value of a cell.
+
+        :param column: name of an existing column.
+        """
+        value = getattr(self, column)
+        return value.value if isinstance(value, Execution) else value
+
+    @property
+    def is_idempotent(self) -> bool:
+        """True when the request may run more than once."""
+        return self.execution is Execution.IDEMPOTENT
+
+
+def create_row(key: RowKey, version: int = 0, **values: CellValue) -> Row:
+    """Creates a row with default values.
+
+    :param version: version of all its cells.
+    :param values: checked cell values that differ from the defaults.
+    """
+    cells = {column.name: column.default for column in COLUMNS} | values
+    cells["execution"] = Execution(cells["execution"])
+    versions = {column.name: version for column in COLUMNS}
+    return Row(key, versions=versions, name=str(key), **cells)
+
+
+@attrs.frozen
+class Table:
+    """All rows at one version.
+
+    :param version: log index of the last change.
+    :param rows: rows by the text form of their key.
+    """
+
+    version: int = 0
+    rows: Mapping[str, Row] = attrs.field(factory=dict, converter=MappingProxyType)
+
+
+def create_table(rows: list[Row] | tuple[Row, ...] = (), version: int = 0) -> Table:
+    """Creates a table from rows."""
+    return Table(version, {row.name: row for row in rows})
--- /dev/null
+++ b/src/coltsfootspar/timers/tests/test_service.py
@@ -0,0 +1,44 @@
+"""Ticks must come on time and must not pile up for a slow part."""
+
+import random
+
+import trio
+
+from coltsfootspar.timers import create_timer_service
+
+
+async def test_ticks_follow_the_period(autojump_clock):
+    timers = create_timer_service(random.Random(1))
+    times = []
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(timers.run)
+        start = trio.current_time()
+        async for now in timers.subscribe(period=0.5):
+            times.append(round(now - start, 6))
+            if len(times) == 3:
+                nursery.cancel_scope.cancel()
+    assert times == [0.5, 1.0, 1.5]
+
+
+async def test_slow_subscriber_gets_one_tick_for_many_missed(autojump_clock):
+    timers = create_timer_service(random.Random(1))
+    ticks = 0
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(timers.run)
+        subscription = timers.subscribe(period=1.0)
+        await trio.sleep(10.5)
+        with trio.move_on_after(0.1):
+            async for _ in subscription:
+                ticks += 1
+        nursery.cancel_scope.cancel()
+    assert ticks == 1
+
+
+async def test_cancelled_subscription_ends_its_loop(autojump_clock):
+    timers = create_timer_service(random.Random(1))
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(timers.run)
+        subscription = timers.subscribe(period=1.0)
+        subscription.cancel()
+        assert [now async for now in subscription] == []
+        nursery.cancel_scope.cancel()
