--- /dev/null
+++ b/src/coltsfootspar/admission/interfaces.py
@@ -0,0 +1,62 @@
+"""What the node needs from admission."""
+
+from typing import Protocol
+
+from coltsfootspar.calls import CallContext, CallReply, CallRequest, OverloadSignal
+from coltsfootspar.table import Row
+
+__all__ = ["AdmissionController", "EntryGate", "EntryPass", "Permit"]
+
+
+class Permit(Protocol):
+    """The right to occupy one slot of the backend server."""
+
+    def release(self, service_seconds: float, *, succeeded: bool) -> None:
+        """Gives the slot back; a second call has no effect.
+
+        :param service_seconds: time at the backend server, seconds.
+        :param succeeded: false when the backend server failed or shed the call.
+        """
+
+
+class AdmissionController(Protocol):
+    """Limits and queue in front of the own backend server."""
+
+    async def acquire(self, request: CallRequest, row: Row) -> Permit:
+        """Waits for a slot.
+
+        :raises RefusedError: when the request must not wait or cannot finish in
+            time.
+        """
+
+    def get_signals(self) -> tuple[OverloadSignal, ...]:
+        """Returns what this service refuses at present."""
+
+    def update_slots(self, slots: int, cold_start: float) -> None:
+        """Takes an announcement of the backend server.
+
+        :param slots: requests that it works on at once.
+        :param cold_start: time that it needs to warm up, seconds; applies when
+            it has just started.
+        """
+
+
+class EntryPass(Protocol):
+    """A request that has passed the entry gate."""
+
+    def close(self, reply: CallReply | None) -> None:
+        """Ends the request and learns from its reply.
+
+        :param reply: None when it was cancelled or got no reply.
+        """
+
+
+class EntryGate(Protocol):
+    """Decides at the sender whether a call is worth starting."""
+
+    def admit(self, row: Row, context: CallContext) -> EntryPass:
+        """Checks the row's limits and the signals of the services it reaches.
+
+        :param row: row of the call; at depth 0 also the row of the request.
+        :raises RefusedError: when the call would be refused further down.
+        """
--- a/src/coltsfootspar/calls/__init__.py
+++ b/src/coltsfootspar/calls/__init__.py
@@ -2,6 +2,7 @@
 
 from coltsfootspar.calls.context import (
     CallContext,
+    CallScope,
     ContextStore,
     Priority,
     create_context_store,
@@ -21,6 +22,7 @@
     "CallContext",
     "CallReply",
     "CallRequest",
+    "CallScope",
     "ContextStore",
     "Header",
     "Outcome",
--- a/src/coltsfootspar/calls/context.py
+++ b/src/coltsfootspar/calls/context.py
@@ -1,13 +1,18 @@
 """Context of a request: what every hop of its call tree has to know."""
 
 import itertools
+from typing import TYPE_CHECKING
 
 import attrs
 import trio
 import xxhash
 
+if TYPE_CHECKING:
+    from coltsfootspar.calls.messages import CallReply, OverloadSignal
+
 __all__ = [
     "CallContext",
+    "CallScope",
     "ContextStore",
     "PRIORITY_BUCKETS",
     "Priority",
@@ -84,10 +89,27 @@
 
 
 @attrs.define(eq=False)
-class _Entry:
+class CallScope:
+    """A call that the own backend server is working on.
+
+    :param spendable: retries left for the calls that the backend server makes.
+    :param reached: services that those calls have reached.
+    :param signals: latest overload signal of each service on their replies.
+    :param is_refused_below: true once one of those calls was refused.
+    """
+
     context: CallContext
     spendable: int
-    calls: int = 0
+    reached: set[str] = attrs.field(factory=set)
+    signals: dict[str, "OverloadSignal"] = attrs.field(factory=dict)
+    is_refused_below: bool = False
+
+    def record_reply(self, reply: "CallReply") -> None:
+        """Keeps what a reply says about the services below."""
+        self.reached.update(reply.reached)
+        self.signals.update((signal.service, signal) for signal in reply.signals)
+        if reply.refusal is not None:
+            self.is_refused_below = True
 
 
 @attrs.define(eq=False)
@@ -99,60 +121,61 @@
     backend server at once; they share the allowance that is left.
     """
 
-    _entries: dict[str, list[_Entry]] = attrs.field(factory=dict)
+    _scopes: dict[str, list[CallScope]] = attrs.field(factory=dict)
 
     def __len__(self) -> int:
-        return sum(len(entries) for entries in self._entries.values())
+        return sum(len(scopes) for scopes in self._scopes.values())
 
-    def add(self, context: CallContext) -> "_Entry":
+    def add(self, context: CallContext) -> CallScope:
         """Records a call handed to the backend server.
 
         :returns: a handle for :meth:`remove`.
         """
-        entry = _Entry(context, context.allowance)
-        self._entries.setdefault(context.trace_id, []).append(entry)
-        return entry
+        scope = CallScope(context, context.allowance)
+        self._scopes.setdefault(context.trace_id, []).append(scope)
+        return scope
 
-    def remove(self, entry: "_Entry") -> int:
+    def remove(self, scope: CallScope) -> int:
         """Forgets a call that has ended.
 
         :returns: the allowance that the calls below it left unused.
         """
-        entries = self._entries.get(entry.context.trace_id, [])
-        if entry in entries:
-            entries.remove(entry)
-        if not entries:
-            self._entries.pop(entry.context.trace_id, None)
-        return entry.spendable
-
-    def find(self, trace_id: str, parent_span_id: str = "") -> "_Entry | None":
+        scopes = self._scopes.get(scope.context.trace_id, [])
+        if scope in scopes:
+            scopes.remove(scope)
+        if not scopes:
+            self._scopes.pop(scope.context.trace_id, None)
+        # Nothing can be drawn from it once its rest was given back.
+        unused, scope.spendable = scope.spendable, 0
+        return unused
+
+    def find(self, trace_id: str, parent_span_id: str = "") -> CallScope | None:
         """Finds the context for an outgoing call of the backend server.
 
         :param parent_span_id: span id sent by the backend server; it selects
             among several calls of one trace, else the latest one applies.
         """
-        entries = self._entries.get(trace_id)
-        if not entries:
+        scopes = self._scopes.get(trace_id)
+        if not scopes:
             return None
-        for entry in entries:
-            if entry.context.parent_span_id == parent_span_id:
-                return entry
-        return entries[-1]
+        for scope in scopes:
+            if scope.context.parent_span_id == parent_span_id:
+                return scope
+        return scopes[-1]
 
-    def draw_allowance(self, entry: "_Entry") -> int:
+    def draw_allowance(self, scope: CallScope) -> int:
         """Takes the share of the allowance for one outgoing call.
 
         The first call gets half of what is left, rounded up, so that a parallel
         call still finds some; what is unused comes back with the reply.
         """
-        share = (entry.spendable + 1) // 2
-        entry.spendable -= share
-        entry.calls += 1
+        share = (scope.spendable + 1) // 2
+        scope.spendable -= share
         return share
 
-    def return_allowance(self, entry: "_Entry", unused: int) -> None:
+    def return_allowance(self, scope: CallScope, unused: int) -> None:
         """Gives back the unused part of a drawn share."""
-        entry.spendable += unused
+        scope.spendable += unused
 
     def drop_expired(self, now: float) -> int:
         """Forgets calls whose deadline has passed.
@@ -161,12 +184,12 @@
         :returns: how many were forgotten.
         """
         expired = [
-            entry
-            for entry in itertools.chain.from_iterable(self._entries.values())
-            if entry.context.deadline < now
+            scope
+            for scope in itertools.chain.from_iterable(self._scopes.values())
+            if scope.context.deadline < now
         ]
-        for entry in expired:
-            self.remove(entry)
+        for scope in expired:
+            self.remove(scope)
         return len(expired)
 
 
--- a/src/coltsfootspar/exceptions.py
+++ b/src/coltsfootspar/exceptions.py
@@ -258,10 +258,17 @@
 
 
 class ClaimError(ColtsfootsparError):
-    """An at-most-once request may not be run."""
+    """An at-most-once request may not be run.
+
+    :param may_have_run: true when an earlier request with the key may have run.
+    """
 
     code = "claim"
 
+    def __init__(self, message: str, *, may_have_run: bool, code: str | None = None):
+        super().__init__(message, code=code)
+        self.may_have_run = may_have_run
+
 
 class WebError(ColtsfootsparError):
     """Base class of the errors of the HTTP layer."""
--- /dev/null
+++ b/src/coltsfootspar/node/__init__.py
@@ -0,0 +1,1 @@
+"""The node program."""
--- /dev/null
+++ b/src/coltsfootspar/routing/__init__.py
@@ -0,0 +1,5 @@
+"""Routing: choice of node, retries and hedging."""
+
+from coltsfootspar.routing.interfaces import Candidate, Directory, PeerLink, Router
+
+__all__ = ["Candidate", "Directory", "PeerLink", "Router"]
--- /dev/null
+++ b/src/coltsfootspar/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Logs, metrics and traces."""
