Add settings, telemetry and HTTP layers

Cause: the programs need checked settings, logs, metrics, traces and HTTP. Change: settings in JSON with comments with all problems reported at once; JSON logs; metrics; traces over the OpenTelemetry SDK; HTTP servers on h11 and hypercorn and clients on h11 and httpcore behind one Protocol.

--- a/src/coltsfootspar/exceptions.py
+++ b/src/coltsfootspar/exceptions.py
@@ -33,6 +33,7 @@
     "WebError",
     "MalformedRequestError",
     "TooLargeError",
+    "TransferError",
     "BenchError",
 ]
 
@@ -288,6 +289,19 @@
     code = "too-large"
 
 
+class TransferError(WebError):
+    """An HTTP server gave no whole response.
+
+    :param may_have_run: false only when no byte of the request was sent.
+    """
+
+    code = "transfer"
+
+    def __init__(self, message: str, *, may_have_run: bool):
+        super().__init__(message)
+        self.may_have_run = may_have_run
+
+
 class BenchError(ColtsfootsparError):
     """A scenario is not valid or a measurement could not be made."""
 
--- /dev/null
+++ b/src/coltsfootspar/telemetry/logs.py
@@ -0,0 +1,53 @@
+"""Structured logs: one JSON object a line on standard error."""
+
+import json
+import logging as standard_logging
+import sys
+
+from absl import logging
+
+__all__ = ["JsonFormatter", "set_up_logs"]
+
+_VERBOSITY = {
+    "debug": logging.DEBUG,
+    "info": logging.INFO,
+    "warning": logging.WARNING,
+    "error": logging.ERROR,
+}
+
+
+class JsonFormatter(standard_logging.Formatter):
+    """Formats a record as one JSON object.
+
+    :param process: id of the node or replica, part of every line.
+    """
+
+    def __init__(self, process: str):
+        super().__init__()
+        self._process = process
+
+    def format(self, record: standard_logging.LogRecord) -> str:
+        """Returns the line for a record."""
+        entry = {
+            "time": self.formatTime(record, "%Y-%m-%dT%H:%M:%S"),
+            "level": record.levelname.lower(),
+            "process": self._process,
+            "source": f"{record.module}:{record.lineno}",
+            "message": record.getMessage(),
+        }
+        if record.exc_info:
+            entry["exception"] = self.formatException(record.exc_info)
+        return json.dumps(entry)
+
+
+def set_up_logs(process: str, level: str) -> None:
+    """Directs the logs of all modules to standard error.
+
+    :param process: id of the node or replica.
+    :param level: ``debug``, ``info``, ``warning`` or ``error``.
+    """
+    handler = logging.get_absl_handler()
+    handler.setFormatter(JsonFormatter(process))
+    handler.python_handler.stream = sys.stderr
+    logging.use_absl_handler()
+    logging.set_verbosity(_VERBOSITY[level])
--- /dev/null
+++ b/src/coltsfootspar/web/server.py
@@ -0,0 +1,299 @@
+"""HTTP server on h11, one task pair for each connection."""
+
+from collections.abc import Callable
+
+import attrs
+import h11
+import trio
+from absl import logging
+
+from coltsfootspar.exceptions import MalformedRequestError, TooLargeError, WebError
+from coltsfootspar.web.headers import drop_hop_headers
+from coltsfootspar.web.interfaces import (
+    HttpHandler,
+    HttpRequest,
+    HttpResponse,
+    HttpServer,
+    WebLimits,
+)
+from coltsfootspar.web.sockets import set_socket_options
+from coltsfootspar.wire import Address
+
+__all__ = ["create_h11_server"]
+
+_RECEIVE_BYTES = 64 << 10
+_READ_AHEAD_BYTES = 1 << 20
+_BODYLESS_STATUS = (204, 304)
+_LINGER_SECONDS = 1.0
+_LISTEN_BACKLOG = 1024
+
+ErrorCounter = Callable[[str], None]
+
+
+@attrs.define(eq=False)
+class H11Server:
+    """Serves HTTP/1.1 with h11."""
+
+    _handler: HttpHandler
+    _limits: WebLimits
+    _count_error: ErrorCounter
+    _connections: set["_ServerConnection"] = attrs.field(factory=set)
+    _listener_scope: trio.CancelScope = attrs.field(factory=trio.CancelScope)
+    _is_draining: bool = False
+    _idle: trio.Event = attrs.field(factory=trio.Event)
+
+    async def serve(
+        self,
+        address: Address,
+        task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Serves until cancelled; reports the bound :class:`Address`."""
+        (listener,) = await trio.open_tcp_listeners(
+            address.port, host=address.host, backlog=_LISTEN_BACKLOG
+        )
+        host, port = listener.socket.getsockname()[:2]
+        task_status.started(Address(host, port))
+        async with trio.open_nursery() as connections:
+            with self._listener_scope:
+                await trio.serve_listeners(
+                    self._serve_stream, [listener], handler_nursery=connections
+                )
+
+    async def drain(self) -> None:
+        """Accepts no more connections and waits for requests in progress."""
+        self._is_draining = True
+        self._listener_scope.cancel()
+        for connection in list(self._connections):
+            connection.close_if_idle()
+        while self._connections:
+            self._idle = trio.Event()
+            await self._idle.wait()
+
+    async def _serve_stream(self, stream: trio.SocketStream) -> None:
+        if len(self._connections) >= self._limits.connections:
+            self._count_error("too-many-connections")
+            await trio.aclose_forcefully(stream)
+            return
+        set_socket_options(stream)
+        connection = _ServerConnection(
+            stream, self._handler, self._limits, self._count_error, self
+        )
+        self._connections.add(connection)
+        try:
+            await connection.run()
+        finally:
+            self._connections.discard(connection)
+            if not self._connections:
+                self._idle.set()
+            await trio.aclose_forcefully(stream)
+
+    @property
+    def is_draining(self) -> bool:
+        """True once no more requests are accepted."""
+        return self._is_draining
+
+
+@attrs.define(eq=False)
+class _ServerConnection:
+    """One connection: a task that reads and one that serves."""
+
+    _stream: trio.SocketStream
+    _handler: HttpHandler
+    _limits: WebLimits
+    _count_error: ErrorCounter
+    _server: H11Server
+    _http: h11.Connection = attrs.field(init=False)
+    _arrived: trio.Event = attrs.field(factory=trio.Event)
+    _consumed: trio.Event = attrs.field(factory=trio.Event)
+    _unread: int = 0
+    _is_closed: bool = False
+    _is_serving: bool = False
+    _request_scope: trio.CancelScope | None = None
+    _scope: trio.CancelScope = attrs.field(factory=trio.CancelScope)
+
+    def __attrs_post_init__(self) -> None:
+        self._http = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=self._limits.header_bytes
+        )
+
+    def close_if_idle(self) -> None:
+        """Ends the connection unless it serves a request."""
+        if not self._is_serving:
+            self._scope.cancel()
+
+    async def run(self) -> None:
+        """Serves the requests of the connection one after the other."""
+        with self._scope:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._receive)
+                await self._serve_requests()
+                nursery.cancel_scope.cancel()
+
+    async def _receive(self) -> None:
+        while not self._is_closed:
+            try:
+                data = await self._stream.receive_some(_RECEIVE_BYTES)
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                data = b""
+            self._is_closed = not data
+            self._feed(data)
+            if self._is_closed and self._request_scope is not None:
+                # The client has gone; its request is cancelled down the chain.
+                self._request_scope.cancel()
+            if self._unread > _READ_AHEAD_BYTES:
+                self._consumed = trio.Event()
+                await self._consumed.wait()
+
+    def _feed(self, data: bytes) -> None:
+        try:
+            self._http.receive_data(data)
+        except h11.RemoteProtocolError:
+            self._is_closed = True
+        self._unread += len(data)
+        self._arrived.set()
+
+    async def _serve_requests(self) -> None:
+        try:
+            while not self._server.is_draining:
+                request = await self._read_request()
+                if request is None:
+                    return
+                if not await self._answer(request):
+                    return
+                self._http.start_next_cycle()
+                self._is_serving = False
+        except (h11.RemoteProtocolError, TooLargeError, WebError) as error:
+            await self._reject(error)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            return
+
+    async def _read_request(self) -> HttpRequest | None:
+        if not self._http.trailing_data[0] and not await self._wait_for_data():
+            return None
+        self._is_serving = True
+        with trio.move_on_after(self._limits.read_seconds):
+            head = await self._next_event()
+            if not isinstance(head, h11.Request):
+                return None
+            return await self._read_body(head)
+        raise MalformedRequestError(
+            f"request not complete within {self._limits.read_seconds:g} s", code="slow"
+        )
+
+    async def _wait_for_data(self) -> bool:
+        self._arrived = trio.Event()
+        with trio.move_on_after(self._limits.idle_seconds):
+            await self._arrived.wait()
+            return True
+        return False
+
+    async def _read_body(self, head: h11.Request) -> HttpRequest:
+        headers = tuple(head.headers)
+        limit = self._limits.body_bytes
+        for name, value in headers:
+            if name == b"content-length" and int(value) > limit:
+                raise TooLargeError(f"body exceeds {limit} bytes")
+        if self._http.they_are_waiting_for_100_continue:
+            go_on = h11.InformationalResponse(status_code=100, headers=[])
+            await self._stream.send_all(self._http.send(go_on))
+        chunks = []
+        size = 0
+        while isinstance(event := await self._next_event(), h11.Data):
+            size += len(event.data)
+            if size > limit:
+                raise TooLargeError(f"body exceeds {limit} bytes")
+            chunks.append(bytes(event.data))
+        return HttpRequest(
+            method=head.method.decode("ascii").upper(),
+            target=head.target.decode("ascii"),
+            headers=drop_hop_headers(headers),
+            body=chunks[0] if len(chunks) == 1 else b"".join(chunks),
+        )
+
+    async def _next_event(self) -> h11.Event | type[h11.PAUSED]:
+        while (event := self._http.next_event()) is h11.NEED_DATA:
+            self._unread = 0
+            self._consumed.set()
+            self._arrived = trio.Event()
+            await self._arrived.wait()
+        return event
+
+    async def _answer(self, request: HttpRequest) -> bool:
+        with trio.CancelScope() as scope:
+            self._request_scope = scope
+            if self._is_closed:
+                return False
+            response = await self._handle(request)
+        self._request_scope = None
+        if scope.cancelled_caught or self._is_closed:
+            return False
+        await self._send_response(response, request.method)
+        return self._http.our_state is h11.DONE and self._http.their_state is h11.DONE
+
+    async def _handle(self, request: HttpRequest) -> HttpResponse:
+        try:
+            return await self._handler(request)
+        except Exception:
+            # One faulty request must not end the process.
+            logging.exception("Request %s %s failed", request.method, request.target)
+            return HttpResponse(500, ((b"coltsfootspar-error", b"internal"),))
+
+    async def _send_response(self, response: HttpResponse, method: str) -> None:
+        headers = list(response.headers)
+        has_body = response.status not in _BODYLESS_STATUS
+        if has_body:
+            headers.append((b"content-length", str(len(response.body)).encode()))
+        if self._server.is_draining:
+            headers.append((b"connection", b"close"))
+        http = self._http
+        data = http.send(h11.Response(status_code=response.status, headers=headers))
+        if has_body and response.body and method != "HEAD":
+            data += http.send(h11.Data(data=response.body))
+        data += http.send(h11.EndOfMessage())
+        with trio.move_on_after(self._limits.idle_seconds) as scope:
+            await self._stream.send_all(data)
+        if scope.cancelled_caught:
+            raise trio.BrokenResourceError("client does not read its answer")
+
+    async def _reject(self, error: Exception) -> None:
+        if isinstance(error, TooLargeError):
+            status, code = 413, error.code
+        elif isinstance(error, h11.RemoteProtocolError):
+            status, code = error.error_status_hint, "malformed-http"
+        else:
+            status, code = 408, getattr(error, "code", "malformed-http")
+        self._count_error(code)
+        if self._http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return
+        response = HttpResponse(
+            status,
+            (
+                (b"coltsfootspar-error", code.encode()),
+                (b"coltsfootspar-outcome", b"not-run"),
+                (b"connection", b"close"),
+                (b"content-type", b"text/plain; charset=utf-8"),
+            ),
+            f"{error}\n".encode(),
+        )
+        with trio.move_on_after(_LINGER_SECONDS):
+            try:
+                await self._send_response(response, "GET")
+                await self._stream.send_eof()
+                # Without reading on, closing would reset the connection and the
+                # client might never see the answer.
+                await trio.sleep(_LINGER_SECONDS)
+            except (trio.BrokenResourceError, h11.LocalProtocolError):
+                return
+
+
+def create_h11_server(
+    handler: HttpHandler,
+    limits: WebLimits | None = None,
+    count_error: ErrorCounter = lambda code: None,
+) -> HttpServer:
+    """Creates a server on h11.
+
+    :param handler: answers one request; cancelled when the client goes away.
+    :param count_error: called with an error code for each rejected connection.
+    """
+    return H11Server(handler, limits or WebLimits(), count_error)
--- /dev/null
+++ b/src/coltsfootspar/web/tests/test_web.py
@@ -0,0 +1,214 @@
+"""Servers and clients must pass whole messages and refuse broken ones."""
+
+import contextlib
+
+import pytest
+import trio
+
+from coltsfootspar.exceptions import TransferError
+from coltsfootspar.web import HttpRequest, HttpResponse, WebLimits
+from coltsfootspar.web.client import create_h11_client
+from coltsfootspar.web.httpcore import create_httpcore_client
+from coltsfootspar.web.hypercorn import create_hypercorn_server
+from coltsfootspar.web.server import create_h11_server
+from coltsfootspar.wire import Address
+
+LOOPBACK = Address("127.0.0.1", 0)
+LIMITS = WebLimits(
+    header_bytes=4096, body_bytes=1 << 21, connections=4, read_seconds=0.3
+)
+SERVERS = {"h11": create_h11_server, "hypercorn": create_hypercorn_server}
+CLIENTS = {"h11": create_h11_client, "httpcore": create_httpcore_client}
+
+
+async def echo(request):
+    name = dict(request.headers).get(b"x-name", b"")
+    return HttpResponse(200, ((b"x-name", name),), request.body)
+
+
+@contextlib.asynccontextmanager
+async def open_server(handler=echo, create=create_h11_server, **options):
+    server = create(handler, LIMITS, **options)
+    async with trio.open_nursery() as nursery:
+        address = await nursery.start(server.serve, LOOPBACK)
+        yield server, address
+        nursery.cancel_scope.cancel()
+
+
+@contextlib.asynccontextmanager
+async def open_raw_server(serve):
+    listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(trio.serve_listeners, serve, listeners)
+        yield Address("127.0.0.1", listeners[0].socket.getsockname()[1])
+        nursery.cancel_scope.cancel()
+
+
+async def exchange_raw(address, data):
+    stream = await trio.open_tcp_stream(address.host, address.port)
+    async with stream:
+        with contextlib.suppress(trio.BrokenResourceError):
+            await stream.send_all(data)
+        received = bytearray()
+        with trio.fail_after(5):
+            async for chunk in stream:
+                received += chunk
+    return bytes(received)
+
+
+@pytest.mark.parametrize("server", SERVERS)
+@pytest.mark.parametrize("client", CLIENTS)
+async def test_bodies_arrive_byte_for_byte(server, client):
+    sender = CLIENTS[client](LIMITS)
+    async with open_server(create=SERVERS[server]) as (_, address):
+        for size in (0, 1, 70_000, 1 << 20):
+            body = bytes(number % 251 for number in range(size))
+            headers = ((b"host", b"specs"), (b"x-name", str(size).encode()))
+            request = HttpRequest("POST", "/x?y=1", headers, body)
+            response = await sender.send(address, request)
+            assert response.status == 200 and response.body == body
+            assert (b"x-name", str(size).encode()) in response.headers
+
+
+@pytest.mark.parametrize("server", SERVERS)
+async def test_client_that_goes_away_cancels_its_request(server):
+    started, cancelled = trio.Event(), trio.Event()
+
+    async def work(request):
+        started.set()
+        try:
+            await trio.sleep_forever()
+        finally:
+            cancelled.set()
+
+    async with open_server(work, SERVERS[server]) as (_, address):
+        stream = await trio.open_tcp_stream(address.host, address.port)
+        await stream.send_all(b"GET / HTTP/1.1\r\nhost: specs\r\n\r\n")
+        await started.wait()
+        await stream.aclose()
+        with trio.fail_after(5):
+            await cancelled.wait()
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (b"nonsense\r\n\r\n", b"400"),
+        (b"GET / HTTP/1.1\r\n\r\n", b"400"),
+        (b"GET / HTTP/1.1\r\nhost: a\r\nx: " + b"y" * 8000, b"431"),
+        (b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 9999999\r\n\r\n", b"413"),
+        (b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 5\r\n\r\nab", b"408"),
+        (b"GET / HTTP/1.1\r\nhost:", b"408"),
+    ],
+    ids=[
+        "nonsense",
+        "no-host",
+        "large-headers",
+        "large-body",
+        "slow-body",
+        "slow-head",
+    ],
+)
+async def test_bad_input_gets_an_error_and_a_count(data, status):
+    codes = []
+    async with open_server(count_error=codes.append) as (_, address):
+        answer = await exchange_raw(address, data)
+    assert answer.startswith(b"HTTP/1.1 " + status)
+    assert b"coltsfootspar-outcome: not-run" in answer.lower()
+    assert len(codes) == 1
+
+
+async def test_fault_in_a_handler_is_one_answer_and_not_the_end():
+    async def fail(request):
+        raise RuntimeError("fault")
+
+    async with open_server(fail) as (_, address):
+        client = create_h11_client()
+        for _ in range(2):
+            request = HttpRequest("GET", "/", ((b"host", b"a"),))
+            assert (await client.send(address, request)).status == 500
+
+
+@pytest.mark.parametrize("server", SERVERS)
+async def test_drain_lets_the_request_in_progress_finish(server):
+    release = trio.Event()
+    started = trio.Event()
+
+    async def work(request):
+        started.set()
+        await release.wait()
+        return HttpResponse(200, (), b"whole")
+
+    answers = []
+    async with open_server(work, SERVERS[server]) as (running, address):
+
+        async def ask():
+            request = HttpRequest("GET", "/", ((b"host", b"a"),))
+            answers.append(await create_h11_client().send(address, request))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask)
+            await started.wait()
+            nursery.start_soon(running.drain)
+            await trio.sleep(0.05)
+            release.set()
+        with pytest.raises(TransferError) as caught:
+            request = HttpRequest("GET", "/", ((b"host", b"a"),))
+            await create_h11_client().send(address, request)
+    assert answers[0].body == b"whole"
+    assert not caught.value.may_have_run
+
+
+@pytest.mark.parametrize("client", CLIENTS)
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\nabc",
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nab",
+        b"",
+    ],
+    ids=["short", "cut-chunk", "nothing"],
+)
+async def test_truncated_response_is_an_error_with_an_open_outcome(client, data):
+    async def serve(stream):
+        async with stream:
+            await stream.receive_some(1000)
+            if data:
+                await stream.send_all(data)
+
+    async with open_raw_server(serve) as address:
+        request = HttpRequest("GET", "/", ((b"host", b"a"),))
+        with pytest.raises(TransferError) as caught:
+            await CLIENTS[client]().send(address, request)
+        assert caught.value.may_have_run
+
+
+async def test_response_that_ends_with_the_connection_is_an_error():
+    async def serve(stream):
+        async with stream:
+            await stream.receive_some(1000)
+            await stream.send_all(b"HTTP/1.1 200 OK\r\n\r\npart")
+
+    async with open_raw_server(serve) as address:
+        with pytest.raises(TransferError):
+            request = HttpRequest("GET", "/", ((b"host", b"a"),))
+            await create_h11_client().send(address, request)
+
+
+async def test_stale_idle_connection_is_not_reused():
+    """Guards against an unknown outcome on a connection closed while idle."""
+    connections = []
+
+    async def serve(stream):
+        connections.append(stream)
+        async with stream:
+            await stream.receive_some(1000)
+            await stream.send_all(b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n")
+
+    async with open_raw_server(serve) as address:
+        client = create_h11_client()
+        for _ in range(3):
+            request = HttpRequest("GET", "/", ((b"host", b"a"),))
+            assert (await client.send(address, request)).status == 200
+            await trio.sleep(0.02)
+    assert len(connections) == 3
