--- a/src/coltsfootspar/node/pipeline.py
+++ b/src/coltsfootspar/node/pipeline.py
@@ -231,7 +231,13 @@
         unused: int,
         elapsed: float,
     ) -> CallReply:
+        outcome = reply.outcome
         refusal = reply.refusal
+        if scope.reached and outcome is Outcome.NOT_RUN and refusal is not None:
+            # A backend server that has made calls has begun to run; it may have
+            # copied the header from the answer to one of them.
+            outcome = Outcome.RAN
+            refusal = attrs.evolve(refusal, below=True)
         if refusal is None and reply.status >= _SERVER_ERROR and scope.is_refused_below:
             # Nodes above must not retry: the refusal was already handled where
             # it happened.
@@ -239,6 +245,7 @@
         signals = {s.service: s for s in self._admission.get_signals()}
         return attrs.evolve(
             reply,
+            outcome=outcome,
             refusal=refusal,
             unused_allowance=unused,
             signals=(*signals.values(), *scope.signals.values()),
