--- /dev/null
+++ b/src/coltsfootspar/routing/router.py
@@ -0,0 +1,61 @@
+"""Router of a node."""
+
+import random
+
+import attrs
+import trio
+
+from coltsfootspar.calls import CallReply, CallRequest
+from coltsfootspar.routing.attempts import RoutedCall
+from coltsfootspar.routing.interfaces import Directory, PeerLink, Router
+from coltsfootspar.routing.services import ServiceState, Site
+from coltsfootspar.table import Row
+
+__all__ = ["create_router"]
+
+
+@attrs.define(eq=False)
+class _NodeRouter:
+    """Routes calls by what it observes of each destination."""
+
+    _site: Site
+    _directory: Directory
+    _link: PeerLink
+    _random: random.Random
+    _services: dict[str, ServiceState] = attrs.field(factory=dict)
+
+    async def call(self, request: CallRequest, row: Row) -> CallReply:
+        """Sends a call to one of the candidates of its service."""
+        service = self._get_service(request.service)
+        service.budget.record_call()
+        allowance = request.context.allowance
+        call = RoutedCall(request, row, service, self._site, self._link, allowance)
+        return await call.run()
+
+    def _get_service(self, name: str) -> ServiceState:
+        service = self._services.get(name)
+        if service is None:
+            service = self._services[name] = ServiceState(self._site, self._random)
+        candidates = self._directory.list_candidates(name)
+        service.update(candidates, trio.current_time())
+        return service
+
+
+def create_router(
+    node_id: str,
+    region: str,
+    data_centre: str,
+    directory: Directory,
+    link: PeerLink,
+    source: random.Random,
+) -> Router:
+    """Creates the router of a node.
+
+    :param node_id: id of this node.
+    :param region: region of this node.
+    :param data_centre: data centre of this node.
+    :param directory: lists the candidates of each service.
+    :param link: carries the calls.
+    :param source: random numbers for the choice of candidates.
+    """
+    return _NodeRouter(Site(region, data_centre), directory, link, source)
