Route by observed latency, with ejection, spill-over and hedging

The router took no account of slow, cold, draining or refusing nodes. One retry is held back at each hop, since a lost reply takes the granted part with it.

--- a/src/coltsfootspar/routing/attempts.py
+++ b/src/coltsfootspar/routing/attempts.py
@@ -1,65 +1,53 @@
 """One call with its attempts, within the allowance and the deadline."""
 
+import math
+
 import attrs
 import trio
 
-from coltsfootspar.calls import CallReply, CallRequest, Outcome
+from coltsfootspar.calls import CallReply, CallRequest, Priority
 from coltsfootspar.exceptions import (
     AttemptsExhaustedError,
     DeadlineError,
     LinkError,
     NoCandidateError,
 )
-from coltsfootspar.routing.destinations import Destination
+from coltsfootspar.routing.destinations import Attempt, Destination
 from coltsfootspar.routing.interfaces import PeerLink
-from coltsfootspar.routing.services import ServiceState, Site
+from coltsfootspar.routing.latency import RowStatistics
+from coltsfootspar.routing.results import AttemptResult
+from coltsfootspar.routing.services import ServiceState
 from coltsfootspar.table import Row
 
-__all__ = ["AttemptResult", "RoutedCall"]
+__all__ = ["RoutedCall"]
 
-SERVER_ERROR = 500
 DRAINING_SKIP = 5.0
 UNREACHABLE_SKIP = 1.0
 REFUSAL_MEMORY = 0.25
+RETRY_PAUSE = 0.02
+FAILURE_LOG = math.log(10)
 # A call that meets draining nodes again and again is refused rather than
 # forwarded without end.
 FREE_REROUTES = 2
+# A hedge that starts earlier than this many medians can seldom win.
+HEDGE_MEDIANS = 2.0
 
 
-@attrs.frozen
-class AttemptResult:
-    """How one attempt ended: with a reply or with an error."""
-
-    reply: CallReply | None = None
-    error: LinkError | None = None
-
-    @property
-    def may_have_run(self) -> bool:
-        """False only when the attempt certainly did not run."""
-        if self.reply is None:
-            return self.error.may_have_run
-        return self.reply.outcome is not Outcome.NOT_RUN
-
-    @property
-    def is_refused(self) -> bool:
-        """True for a refusal by the node that the attempt was sent to."""
-        reply = self.reply
-        return (
-            reply is not None and reply.refusal is not None and not reply.refusal.below
-        )
+@attrs.define(eq=False)
+class _Race:
+    """An attempt and its hedge; the first useful result ends it."""
 
-    @property
-    def is_draining(self) -> bool:
-        """True when the node takes no new work."""
-        return self.is_refused and self.reply.refusal.code == "draining"
+    scope: trio.CancelScope
+    running: int = 0
+    result: AttemptResult | None = None
 
-    @property
-    def is_failed(self) -> bool:
-        """True when another attempt might do better."""
-        reply = self.reply
-        if reply is None or self.is_refused:
-            return True
-        return reply.refusal is None and reply.status >= SERVER_ERROR
+    def finish(self, result: AttemptResult) -> None:
+        """Takes the result of one of the two."""
+        self.running -= 1
+        if self.result is None or not self.result.is_settled:
+            self.result = result
+        if result.is_settled or self.running == 0:
+            self.scope.cancel()
 
 
 @attrs.define(eq=False)
@@ -73,14 +61,14 @@
     _request: CallRequest
     _row: Row
     _service: ServiceState
-    _site: Site
     _link: PeerLink
+    _statistics: RowStatistics
     remaining: int
     _tried: set[str] = attrs.field(factory=set)
     _attempts: int = 0
-    _in_flight: int = 0
     _refusals: int = 0
     _reroutes: int = 0
+    _has_cancelled: bool = False
     _may_have_run: AttemptResult | None = None
 
     async def run(self) -> CallReply:
@@ -92,97 +80,241 @@
         if trio.current_time() < deadline:
             with trio.move_on_at(deadline):
                 return await self._run_attempts()
-        may_have_run = self._in_flight > 0 or self._may_have_run is not None
         raise DeadlineError(
             f"no answer of {self._request.service} before the deadline",
-            may_have_run=may_have_run,
+            may_have_run=self._has_cancelled or self._may_have_run is not None,
         )
 
     async def _run_attempts(self) -> CallReply:
-        destination = self._select()
+        destination = self._select_first()
         if destination is None:
             raise NoCandidateError(f"no backend server offers {self._request.service}")
         while True:
             result = await self._attempt(destination)
             if not result.is_failed:
                 return self._conclude(result)
-            destination = self._select_next(result)
+            destination = await self._select_next(result)
             if destination is None:
                 return self._conclude(result)
 
-    def _select(self) -> Destination | None:
+    def _select_first(self) -> Destination | None:
+        now = trio.current_time()
+        selected = self._select(now)
+        if selected is None:
+            return None
+        trial = self._service.stragglers.find_trial(
+            now, selected.distance, is_idempotent=self._row.is_idempotent
+        )
+        return trial or selected
+
+    def _select(self, now: float, *, again: bool = False) -> Destination | None:
         return self._service.select(
             self._request.context.priority,
-            trio.current_time(),
-            excluded=self._tried,
-            is_spilled=self._request.is_spilled,
+            now,
+            excluded=frozenset() if again else self._tried,
+            is_local=self._request.is_spilled,
         )
 
-    def _select_next(self, result: AttemptResult) -> Destination | None:
+    async def _select_next(self, result: AttemptResult) -> Destination | None:
         """Selects where to retry; None when the attempt was the last."""
-        if result.may_have_run and not self._row.is_idempotent:
+        if not self._row.is_idempotent and self._may_have_run is not None:
             return None
         if result.is_draining and self._reroutes < FREE_REROUTES:
             # The call reached no backend server, so nothing is multiplied.
             self._reroutes += 1
-            return self._select()
-        if result.is_refused:
-            self._refusals += 1
-            if self._refusals > 1:
-                return None
+            return self._select(trio.current_time())
         if self.remaining < 1:
             return None
-        destination = self._select()
+        if result.is_refused:
+            destination = self._select_after_refusal()
+        else:
+            destination = await self._select_after_failure()
         if destination is None or not self._service.budget.spend():
             return None
         self.remaining -= 1
         return destination
 
+    def _select_after_refusal(self) -> Destination | None:
+        self._refusals += 1
+        if self._refusals > 1:
+            return None
+        now = trio.current_time()
+        destination = self._select(now)
+        if destination is None or self._is_full(destination, now):
+            return None
+        return destination
+
+    async def _select_after_failure(self) -> Destination | None:
+        destination = self._select(trio.current_time())
+        if destination is not None:
+            return destination
+        # Only nodes that have failed are left: they get a moment.
+        await trio.sleep(RETRY_PAUSE * (1 + self._service.draw()))
+        return self._select(trio.current_time(), again=True)
+
+    def _is_full(self, destination: Destination, now: float) -> bool:
+        return destination.is_full(self._request.context.priority, now)
+
     async def _attempt(self, destination: Destination) -> AttemptResult:
-        # One retry is held back: a lost reply takes the granted part with it.
-        held = min(1, self.remaining)
+        granted = self._grant()
+        delay = self._compute_hedge_delay()
+        if delay is None:
+            return await self._send(destination, granted)
+        async with trio.open_nursery() as nursery:
+            race = _Race(nursery.cancel_scope)
+            nursery.start_soon(self._hedge, race, delay)
+            await self._compete(race, destination, granted)
+        return race.result
+
+    async def _compete(
+        self, race: _Race, destination: Destination, granted: int
+    ) -> None:
+        race.running += 1
+        race.finish(await self._send(destination, granted))
+
+    async def _hedge(self, race: _Race, delay: float) -> None:
+        await trio.sleep(delay)
+        now = trio.current_time()
+        if now < self._service.overloaded_until:
+            return
+        destination = self._select(now)
+        if destination is None or self._is_full(destination, now):
+            return
+        if self._service.budget.spend():
+            self.remaining -= 1
+            await self._compete(race, destination, self._grant())
+
+    def _compute_hedge_delay(self) -> float | None:
+        """Computes when to send the call a second time; None for never."""
+        window = self._statistics.window
+        if not self._row.is_idempotent or self.remaining < 1:
+            return None
+        delay = max(window.p95, HEDGE_MEDIANS * window.median)
+        return delay if math.isfinite(delay) else None
+
+    def _grant(self) -> int:
+        """Takes the part of the allowance that goes with an attempt.
+
+        One retry is held back where possible, since a lost reply takes the
+        granted part with it; calls that go no further need none.
+        """
+        is_leaf = self._statistics.is_leaf
+        if is_leaf:
+            held = self.remaining
+        elif is_leaf is None:
+            held = min(1, self.remaining)
+        else:
+            held = 1 if self.remaining > 1 else 0
         granted, self.remaining = self.remaining - held, held
-        result = await self._send(destination, granted)
-        if result.reply is not None:
-            self.remaining += min(granted, result.reply.unused_allowance)
-        elif not result.may_have_run:
-            self.remaining += granted
-        if result.may_have_run:
-            self._may_have_run = result
-        return result
+        return granted
 
     async def _send(self, destination: Destination, granted: int) -> AttemptResult:
+        self._tried.add(destination.node_id)
+        sent = self._create_attempt(destination, granted)
+        attempt = Attempt(self._statistics, trio.current_time())
+        destination.calls.add(attempt)
+        try:
+            result = AttemptResult(await self._link.call(destination.node_id, sent))
+        except LinkError as error:
+            result = AttemptResult(error=error)
+        except trio.Cancelled:
+            self._has_cancelled = True
+            self._record_cancelled(destination, attempt)
+            raise
+        finally:
+            destination.calls.discard(attempt)
+        self._take_back(result, granted)
+        self._record(destination, attempt, result)
+        return result
+
+    def _create_attempt(self, destination: Destination, granted: int) -> CallRequest:
         request = self._request
         self._attempts += 1
-        self._tried.add(destination.node_id)
-        sent = attrs.evolve(
+        return attrs.evolve(
             request,
             context=attrs.evolve(request.context, allowance=granted),
             attempt=self._attempts,
-            is_spilled=self._site.measure_distance(destination.candidate) > 0,
+            is_spilled=destination.distance > 0,
         )
-        destination.outstanding += 1
-        self._in_flight += 1
-        try:
-            reply = await self._link.call(destination.node_id, sent)
-        except LinkError as error:
-            destination.unreachable_until = trio.current_time() + UNREACHABLE_SKIP
-            self._in_flight -= 1
-            return AttemptResult(error=error)
-        finally:
-            destination.outstanding -= 1
-        self._in_flight -= 1
-        result = AttemptResult(reply)
-        self._record_refusal(destination, result)
-        return result
 
-    def _record_refusal(self, destination: Destination, result: AttemptResult) -> None:
+    def _take_back(self, result: AttemptResult, granted: int) -> None:
+        if result.reply is not None:
+            self.remaining += min(granted, result.reply.unused_allowance)
+        elif not result.may_have_run:
+            self.remaining += granted
+        if result.may_have_run:
+            self._may_have_run = result
+
+    def _record(
+        self, destination: Destination, attempt: Attempt, result: AttemptResult
+    ) -> None:
         now = trio.current_time()
+        if result.is_unreachable:
+            destination.avoid(now + UNREACHABLE_SKIP)
         if result.is_draining:
-            destination.skip_until = now + DRAINING_SKIP
-        elif result.is_refused:
-            destination.refused = self._request.context.priority
-            destination.refused_until = now + REFUSAL_MEMORY
+            destination.skip(now + DRAINING_SKIP)
+        if result.reply is not None:
+            self._record_signals(destination, result, now)
+        if result.is_server_error:
+            self._record_latency(destination, attempt, FAILURE_LOG, now)
+        elif not result.is_failed and result.reply is not None:
+            self._record_reply(destination, attempt, result.reply, now)
+
+    def _record_reply(
+        self, destination: Destination, attempt: Attempt, reply: CallReply, now: float
+    ) -> None:
+        if reply.refusal is not None:
+            return
+        elapsed = now - attempt.start
+        data_centre = destination.candidate.data_centre
+        delays = self._service.delays
+        delays.record(data_centre, elapsed, reply.service_seconds)
+        statistics = self._statistics
+        statistics.window.record(elapsed)
+        statistics.learn_reached(self._request.service, reply.reached)
+        log_ratio = statistics.record(elapsed - delays.get(data_centre))
+        self._record_latency(destination, attempt, log_ratio, now)
+
+    def _record_cancelled(self, destination: Destination, attempt: Attempt) -> None:
+        """Counts a cancelled attempt when it took long already."""
+        now = trio.current_time()
+        elapsed = now - attempt.start
+        delay = self._service.delays.get(destination.candidate.data_centre)
+        excess = self._statistics.compute_excess(elapsed - delay)
+        if excess > max(0.0, destination.log_score):
+            self._statistics.window.record(elapsed)
+            self._record_latency(destination, attempt, excess, now)
+
+    def _record_latency(
+        self, destination: Destination, attempt: Attempt, log_ratio: float, now: float
+    ) -> None:
+        destination.observe(log_ratio, now)
+        if destination.is_ejected and attempt.start >= destination.ejected_at:
+            self._service.stragglers.record(destination, log_ratio, now)
+
+    def _record_signals(
+        self, destination: Destination, result: AttemptResult, now: float
+    ) -> None:
+        floor, duration = self._find_floor(result)
+        if floor is None and result.is_refused:
+            return
+        destination.set_floor(floor, now + duration)
+        if floor is not None:
+            self._service.record_overload(now + duration)
+
+    def _find_floor(self, result: AttemptResult) -> tuple[Priority | None, float]:
+        """Finds which priorities a node admits, and for how long this holds.
+
+        :returns: None when it refuses none, as far as the reply tells.
+        """
+        for signal in result.reply.signals:
+            if signal.service == self._request.service:
+                return signal.threshold, signal.expires_after
+        if not result.is_overloaded:
+            return None, 0.0
+        # It admits at best what ranks above the refused call.
+        priority = self._request.context.priority
+        return Priority(priority.importance, priority.bucket + 1), REFUSAL_MEMORY
 
     def _conclude(self, result: AttemptResult) -> CallReply:
         """Ends the call with what is certain about all of its attempts."""
--- a/src/coltsfootspar/routing/baseline.py
+++ b/src/coltsfootspar/routing/baseline.py
@@ -29,9 +29,12 @@
 
     async def call(self, request: CallRequest, row: Row) -> CallReply:
         """Sends a call to random candidates until one answers."""
-        with trio.move_on_at(request.context.deadline):
-            return await self._retry(request)
-        raise DeadlineError("no answer before the deadline", may_have_run=True)
+        deadline = request.context.deadline
+        is_late = trio.current_time() >= deadline
+        if not is_late:
+            with trio.move_on_at(deadline):
+                return await self._retry(request)
+        raise DeadlineError("no answer before the deadline", may_have_run=not is_late)
 
     async def _retry(self, request: CallRequest) -> CallReply:
         reply = failure = None
--- a/src/coltsfootspar/routing/destinations.py
+++ b/src/coltsfootspar/routing/destinations.py
@@ -1,13 +1,50 @@
 """What the router knows of each node that offers a service."""
 
+import enum
+import math
+
 import attrs
 
 from coltsfootspar.calls import Priority
 from coltsfootspar.routing.interfaces import Candidate
+from coltsfootspar.routing.latency import RowStatistics
 
-__all__ = ["Destination"]
+__all__ = ["Attempt", "Availability", "Destination"]
 
 MIN_WARM_SHARE = 0.1
+RESTART_SECONDS = 1.0
+# A new sample counts more the longer the last one lies back.
+MIN_SAMPLE_WEIGHT = 0.1
+MAX_SAMPLE_WEIGHT = 0.3
+ESTIMATE_SECONDS = 5.0
+FORGET_SECONDS = 10.0
+OVERDUE_WEIGHT = 0.25
+OVERDUE_LOG = math.log(4)
+MAX_EVIDENCE = 8
+MIN_SCORE_LOG = math.log(0.5)
+MAX_SCORE_LOG = math.log(100)
+
+
+class Availability(enum.Enum):
+    """How well a destination suits a call."""
+
+    GOOD = "good"
+    FULL = "full"
+    EJECTED = "ejected"
+    UNREACHABLE = "unreachable"
+    LEAVING = "leaving"
+
+
+@attrs.define(eq=False)
+class Attempt:
+    """One call sent to a destination.
+
+    :param row: statistics of its row.
+    :param start: when it was sent, seconds.
+    """
+
+    row: RowStatistics
+    start: float
 
 
 @attrs.define(eq=False)
@@ -16,28 +53,78 @@
 
     :param candidate: latest entry of the directory.
     :param first_seen: time at which the router learned of it, seconds.
-    :param outstanding: calls without a reply.
-    :param skip_until: time until which it gets no calls at all because it is
-        leaving, seconds.
-    :param unreachable_until: time until which others are preferred because it
-        could not be reached, seconds.
-    :param refused: highest priority that it lately refused.
-    :param refused_until: time until which ``refused`` applies, seconds.
+    :param distance: 0 in the own data centre, 1 in the own region, else 2.
+    :param calls: attempts without a reply.
+    :param samples: replies behind the estimate.
+    :param sampled_at: time of the last one, seconds.
+    :param is_ejected: true while it gets trial calls only.
+    :param ejected_at: time of the ejection, seconds.
     """
 
     candidate: Candidate
     first_seen: float
-    outstanding: int = 0
-    skip_until: float = 0.0
-    unreachable_until: float = 0.0
-    refused: Priority | None = None
-    refused_until: float = 0.0
+    distance: int
+    calls: set[Attempt] = attrs.field(factory=set)
+    samples: int = 0
+    sampled_at: float = 0.0
+    is_ejected: bool = False
+    ejected_at: float = 0.0
+    _skip_until: float = 0.0
+    _unreachable_until: float = 0.0
+    _floor: Priority | None = None
+    _floor_until: float = 0.0
+    _log_estimate: float = 0.0
+    _log_overdue: float = 0.0
+    _score: float = 1.0
 
     @property
     def node_id(self) -> str:
         """Id of the node."""
         return self.candidate.node_id
 
+    @property
+    def log_score(self) -> float:
+        """Logarithm of its latency relative to the usual latency of the rows."""
+        return self._log_estimate + self._log_overdue
+
+    @property
+    def has_overdue(self) -> bool:
+        """True when calls have been outstanding for much longer than usual."""
+        return self._log_overdue > 0
+
+    @property
+    def is_on_trial(self) -> bool:
+        """True while a call sent after its ejection has no reply."""
+        return any(attempt.start >= self.ejected_at for attempt in self.calls)
+
+    def is_open(self, now: float) -> bool:
+        """True when it takes new work and can be reached, as far as is known."""
+        if self.candidate.is_leaving:
+            return False
+        return now >= self._skip_until and now >= self._unreachable_until
+
+    def update(self, candidate: Candidate, now: float) -> None:
+        """Takes a new entry of the directory."""
+        if abs(candidate.warm_at - self.candidate.warm_at) > RESTART_SECONDS:
+            self.first_seen = now
+        self.candidate = candidate
+
+    def skip(self, until: float) -> None:
+        """Sends nothing to it, since it takes no new work."""
+        self._skip_until = until
+
+    def avoid(self, until: float) -> None:
+        """Prefers all others, since it could not be reached."""
+        self._unreachable_until = until
+
+    def set_floor(self, floor: Priority | None, until: float) -> None:
+        """Records which priorities it refuses.
+
+        :param floor: lowest priority that it admits; None when it admits all.
+        """
+        self._floor = floor
+        self._floor_until = until
+
     def compute_capacity(self, now: float) -> float:
         """Computes the calls that it should get at once.
 
@@ -45,29 +132,88 @@
         :returns: its slots, fewer while it warms up.
         """
         candidate = self.candidate
+        slots = max(1, candidate.slots)
         if now >= candidate.warm_at:
-            return max(1, candidate.slots)
-        ramp = candidate.warm_at - self.first_seen
-        share = (now - self.first_seen) / ramp if ramp > 0 else 0.0
-        return max(1, candidate.slots) * max(MIN_WARM_SHARE, share)
-
-    def is_usable(self, now: float) -> bool:
-        """True unless it takes no new work."""
-        return not self.candidate.is_leaving and now >= self.skip_until
+            return slots
+        share = (now - self.first_seen) / (candidate.warm_at - self.first_seen)
+        return slots * max(MIN_WARM_SHARE, share)
 
     def is_full(self, priority: Priority, now: float) -> bool:
         """True when it would probably refuse a call.
 
         :param priority: priority of the call.
         """
-        if self.outstanding >= self.compute_capacity(now):
+        if now < self._floor_until and priority < self._floor:
             return True
-        return (
-            now < self.refused_until
-            and self.refused is not None
-            and priority <= self.refused
-        )
+        return len(self.calls) >= self.compute_capacity(now)
+
+    def check(self, priority: Priority, now: float) -> Availability:
+        """Tells how well it suits a call.
+
+        :param priority: priority of the call.
+        """
+        if self.candidate.is_leaving or now < self._skip_until:
+            return Availability.LEAVING
+        if now < self._unreachable_until:
+            return Availability.UNREACHABLE
+        if self.is_ejected:
+            return Availability.EJECTED
+        if self.is_full(priority, now):
+            return Availability.FULL
+        return Availability.GOOD
 
     def compute_cost(self, now: float) -> float:
-        """Computes how busy it is; the lower of two is preferred."""
-        return (self.outstanding + 1) / self.compute_capacity(now)
+        """Computes how long a call would probably take, in relation to others."""
+        return (len(self.calls) + 1) / self.compute_capacity(now) * self._score
+
+    def observe(self, log_ratio: float, now: float) -> None:
+        """Adds the latency of a call to the estimate.
+
+        :param log_ratio: logarithm of its ratio to the usual latency of its row.
+        :param now: trio clock, seconds.
+        """
+        self.samples += 1
+        age = now - self.sampled_at
+        weight = max(MIN_SAMPLE_WEIGHT, 1 - math.exp(-age / ESTIMATE_SECONDS))
+        weight = max(1 / self.samples, min(MAX_SAMPLE_WEIGHT, weight))
+        self.sampled_at = now
+        self._log_estimate += (log_ratio - self._log_estimate) * weight
+        self._refresh_score()
+
+    def review(self, now: float, delay: float, elapsed: float) -> None:
+        """Takes account of overdue calls and lets an old estimate fade.
+
+        :param delay: round-trip time of the link, seconds.
+        :param elapsed: time since the last review, seconds.
+        """
+        if now - self.sampled_at > ESTIMATE_SECONDS:
+            self._log_estimate *= math.exp(-elapsed / FORGET_SECONDS)
+        self._log_overdue = self._weigh_overdue(now - delay)
+        self._refresh_score()
+
+    def reset_estimate(self, log_score: float) -> None:
+        """Replaces the estimate; it needs new samples before it counts again."""
+        self._log_estimate = log_score
+        self._log_overdue = 0.0
+        self.samples = 0
+        self._refresh_score()
+
+    def _weigh_overdue(self, now: float) -> float:
+        """Treats overdue calls as if they were answered now.
+
+        A stalled server sends no replies that would raise the estimate.
+        """
+        estimate = self._log_estimate
+        found = 0
+        for attempt in self.calls:
+            excess = attempt.row.compute_excess(now - attempt.start)
+            if excess > OVERDUE_LOG and excess > estimate:
+                estimate += (excess - estimate) * OVERDUE_WEIGHT
+                found += 1
+                if found == MAX_EVIDENCE:
+                    break
+        return estimate - self._log_estimate
+
+    def _refresh_score(self) -> None:
+        bounded = min(MAX_SCORE_LOG, max(MIN_SCORE_LOG, self.log_score))
+        self._score = math.exp(bounded)
--- a/src/coltsfootspar/routing/router.py
+++ b/src/coltsfootspar/routing/router.py
@@ -8,6 +8,7 @@
 from coltsfootspar.calls import CallReply, CallRequest
 from coltsfootspar.routing.attempts import RoutedCall
 from coltsfootspar.routing.interfaces import Directory, PeerLink, Router
+from coltsfootspar.routing.latency import LinkDelays
 from coltsfootspar.routing.services import ServiceState, Site
 from coltsfootspar.table import Row
 
@@ -22,20 +23,23 @@
     _directory: Directory
     _link: PeerLink
     _random: random.Random
+    _delays: LinkDelays = attrs.field(factory=LinkDelays)
     _services: dict[str, ServiceState] = attrs.field(factory=dict)
 
     async def call(self, request: CallRequest, row: Row) -> CallReply:
         """Sends a call to one of the candidates of its service."""
         service = self._get_service(request.service)
         service.budget.record_call()
+        statistics = service.get_row(row.name)
         allowance = request.context.allowance
-        call = RoutedCall(request, row, service, self._site, self._link, allowance)
+        call = RoutedCall(request, row, service, self._link, statistics, allowance)
         return await call.run()
 
     def _get_service(self, name: str) -> ServiceState:
         service = self._services.get(name)
         if service is None:
-            service = self._services[name] = ServiceState(self._site, self._random)
+            service = ServiceState(self._site, self._random, self._delays)
+            self._services[name] = service
         candidates = self._directory.list_candidates(name)
         service.update(candidates, trio.current_time())
         return service
--- a/src/coltsfootspar/routing/services.py
+++ b/src/coltsfootspar/routing/services.py
@@ -1,17 +1,21 @@
 """Destinations of one service, grouped by distance."""
 
 import random
-from collections.abc import Sequence, Set
+from collections.abc import Iterable, Sequence, Set
 
 import attrs
 
 from coltsfootspar.calls import Priority
 from coltsfootspar.routing.budget import RetryBudget, create_retry_budget
-from coltsfootspar.routing.destinations import Destination
+from coltsfootspar.routing.destinations import Availability, Destination
+from coltsfootspar.routing.ejection import StragglerWatch
 from coltsfootspar.routing.interfaces import Candidate
+from coltsfootspar.routing.latency import LinkDelays, RowStatistics
 
 __all__ = ["ServiceState", "Site"]
 
+REVIEW_PERIOD = 0.05
+
 
 @attrs.frozen
 class Site:
@@ -31,71 +35,131 @@
 class ServiceState:
     """All that the router knows of one service.
 
-    :param tiers: destinations by distance, nearest first.
+    :param delays: round-trip times, shared by all services.
+    :param stragglers: its ejected destinations.
+    :param overloaded_until: time until which a destination is known to refuse
+        calls, seconds.
     """
 
     _site: Site
     _random: random.Random
+    delays: LinkDelays
     budget: RetryBudget = attrs.field(factory=create_retry_budget)
-    tiers: tuple[list[Destination], ...] = ([], [], [])
+    stragglers: StragglerWatch = attrs.field(factory=StragglerWatch)
+    overloaded_until: float = 0.0
+    _rows: dict[str, RowStatistics] = attrs.field(factory=dict)
+    _tiers: tuple[list[Destination], ...] = ([], [], [])
     _listed: tuple[Candidate, ...] = ()
     _destinations: dict[str, Destination] = attrs.field(factory=dict)
+    _reviewed_at: float = 0.0
+
+    def get_row(self, name: str) -> RowStatistics:
+        """Returns the statistics of a row."""
+        row = self._rows.get(name)
+        if row is None:
+            row = self._rows[name] = RowStatistics()
+        return row
 
     def update(self, candidates: Sequence[Candidate], now: float) -> None:
-        """Takes the present candidates of the directory."""
+        """Takes the present candidates and reviews the destinations when due."""
         listed = tuple(candidates)
         # Unchanged entries are the same objects, so this compares identities.
-        if listed == self._listed:
-            return
+        if listed != self._listed:
+            self._replace(listed, now)
+        if now - self._reviewed_at >= REVIEW_PERIOD:
+            self._review(now)
+
+    def _replace(self, listed: tuple[Candidate, ...], now: float) -> None:
         self._listed = listed
         known = self._destinations
         self._destinations = {}
-        self.tiers = ([], [], [])
+        self._tiers = ([], [], [])
         for candidate in listed:
+            distance = self._site.measure_distance(candidate)
             destination = known.get(candidate.node_id)
             if destination is None:
-                destination = Destination(candidate, now)
-            destination.candidate = candidate
+                destination = Destination(candidate, now, distance)
+            destination.update(candidate, now)
             self._destinations[candidate.node_id] = destination
-            self.tiers[self._site.measure_distance(candidate)].append(destination)
+            self._tiers[distance].append(destination)
+
+    def _review(self, now: float) -> None:
+        elapsed, self._reviewed_at = now - self._reviewed_at, now
+        destinations = self._destinations.values()
+        for destination in destinations:
+            delay = self.delays.get(destination.candidate.data_centre)
+            destination.review(now, delay, elapsed)
+        self.stragglers.review(destinations, now)
 
     def select(
         self,
         priority: Priority,
         now: float,
         *,
-        excluded: Set[str],
-        is_spilled: bool,
+        excluded: Set[str] = frozenset(),
+        is_local: bool = False,
     ) -> Destination | None:
         """Selects a destination for an attempt.
 
+        The own data centre comes first, then the others of the region while
+        the own is full or refuses. When all are full the own data centre
+        decides. Other regions are used when the own has no reachable node.
+
+        :param priority: priority of the call.
         :param excluded: ids of nodes that must not be used.
-        :param is_spilled: true when only the own data centre may be used.
+        :param is_local: true when only the own data centre may be used.
         :returns: None when there is none.
         """
-        tiers = [
-            [d for d in tier if d.is_usable(now) and d.node_id not in excluded]
-            for tier in (self.tiers[:1] if is_spilled else self.tiers)
-        ]
-        region = tiers[:2]
-        for tier in region:
-            free = [d for d in tier if not d.is_full(priority, now)]
-            reachable = [d for d in free if now >= d.unreachable_until]
-            if reachable:
-                return self._choose(reachable, now)
-        for tier in region:
-            reachable = [d for d in tier if now >= d.unreachable_until]
+        tiers = self._tiers[:1] if is_local else self._tiers
+        checked = []
+        for tier in tiers[:2]:
+            states = [
+                (d, d.check(priority, now)) for d in tier if d.node_id not in excluded
+            ]
+            good = [d for d, state in states if state is Availability.GOOD]
+            if good:
+                return self._choose(good, now)
+            checked.append(states)
+        for tier in tiers[2:]:
+            checked.append(
+                [(d, d.check(priority, now)) for d in tier if d.node_id not in excluded]
+            )
+        return self._choose_fallback(checked, now)
+
+    def record_overload(self, until: float) -> None:
+        """Records that a destination refuses calls.
+
+        :param until: time until which this holds, seconds.
+        """
+        self.overloaded_until = max(self.overloaded_until, until)
+
+    def draw(self) -> float:
+        """Draws a random number from 0 to 1."""
+        return self._random.random()
+
+    def _choose_fallback(
+        self, checked: Iterable[list[tuple[Destination, Availability]]], now: float
+    ) -> Destination | None:
+        avoided = (Availability.LEAVING, Availability.UNREACHABLE)
+        for states in checked:
+            reachable = [d for d, state in states if state not in avoided]
             if reachable:
                 return self._choose(reachable, now)
-        for tier in reversed(tiers):
-            if tier:
-                return self._choose(tier, now)
+        for states in checked:
+            rest = [d for d, state in states if state is Availability.UNREACHABLE]
+            if rest:
+                return self._choose(rest, now)
         return None
 
     def _choose(self, destinations: list[Destination], now: float) -> Destination:
-        if len(destinations) == 1:
+        """Takes the cheaper of two random destinations."""
+        count = len(destinations)
+        if count == 1:
             return destinations[0]
-        first, second = self._random.sample(destinations, 2)
+        position = int(self._random.random() * count)
+        step = 1 + int(self._random.random() * (count - 1))
+        first = destinations[position]
+        second = destinations[(position + step) % count]
         if second.compute_cost(now) < first.compute_cost(now):
             return second
         return first
