--- a/src/coltsfootspar/node/pipeline.py
+++ b/src/coltsfootspar/node/pipeline.py
@@ -59,6 +59,15 @@
         """Takes no new work for the own backend server from now on."""
         self._is_draining = True
 
+    def resume(self) -> None:
+        """Takes new work again, for a backend server that came back."""
+        self._is_draining = False
+
+    @property
+    def is_draining(self) -> bool:
+        """True while no new work is taken for the own backend server."""
+        return self._is_draining
+
     def drop_expired_contexts(self) -> int:
         """Forgets calls of the backend server past their deadline."""
         return self._contexts.drop_expired(trio.current_time())
--- a/src/coltsfootspar/wire/frames.py
+++ b/src/coltsfootspar/wire/frames.py
@@ -45,6 +45,8 @@
     CALL = 16
     CALL_REPLY = 17
     LEAVING = 18
+    FIND_SPANS = 19
+    SPANS = 20
 
     PROBE = 32
     PROBE_ACK = 33
