Add replicated log, leader election, replicated state and its client

Nodes and operators need one table and one record of claims that survive the loss of a minority of replicas.

--- /dev/null
+++ b/src/coltsfootspar/replication/following.py
@@ -0,0 +1,129 @@
+"""What a follower does with the messages of a leader."""
+
+import trio
+
+from coltsfootspar.exceptions import ColtsfootsparError, ReplicationError
+from coltsfootspar.replication.commands import Entry
+from coltsfootspar.replication.core import ReplicaCore, Role
+from coltsfootspar.replication.messages import (
+    AppendReply,
+    AppendRequest,
+    InstallReply,
+    InstallRequest,
+)
+
+__all__ = ["answer_append", "answer_install"]
+
+
+async def answer_append(core: ReplicaCore, request: AppendRequest) -> AppendReply:
+    """Takes entries of the leader and answers once they are synced."""
+    if not await _follow(core, request):
+        return _create_reply(core, next_index=core.log.last_index + 1)
+    conflict = _find_conflict(core, request)
+    if conflict is not None:
+        return _create_reply(core, next_index=conflict)
+    _store_entries(core, request.entries)
+    await core.log.wait_synced()
+    if core.term != request.term:
+        # The entries may have been replaced while they were being synced.
+        return _create_reply(core, next_index=core.log.last_index + 1)
+    match = request.previous_index + len(request.entries)
+    core.commit(min(request.commit_index, match))
+    core.check_failure()
+    await _complete_admission(core, request)
+    return _create_reply(core, match_index=match)
+
+
+async def answer_install(core: ReplicaCore, request: InstallRequest) -> InstallReply:
+    """Takes a part of the leader's snapshot."""
+    if not await _follow(core, request):
+        return InstallReply(core.term, 0, False)
+    key = (request.leader_id, request.snapshot_index, request.snapshot_term)
+    with trio.CancelScope(shield=True):
+        try:
+            next_offset, state = await core.snapshots.receive(
+                key, request.offset, request.size, request.data
+            )
+            if state is not None:
+                await core.install(state)
+        except ColtsfootsparError as error:
+            core.fail(error)
+            raise
+    return InstallReply(core.term, next_offset, next_offset >= request.size)
+
+
+async def _follow(core: ReplicaCore, request: AppendRequest | InstallRequest) -> bool:
+    """Accepts the sender as leader unless its term is over."""
+    own_cluster = core.identity.cluster_id
+    if own_cluster and request.cluster_id != own_cluster:
+        raise ReplicationError(
+            f"replica {request.leader_id!r} belongs to cluster "
+            f"{request.cluster_id!r}, not {own_cluster!r}",
+            code="other-cluster",
+        )
+    await core.adopt_term(request.term)
+    if request.term != core.term:
+        return False
+    if core.role is not Role.FOLLOWER:
+        core.step_down(request.leader_id)
+    core.leader_id = request.leader_id
+    core.leader_contact = trio.current_time()
+    return True
+
+
+def _find_conflict(core: ReplicaCore, request: AppendRequest) -> int | None:
+    """Returns where the leader should continue if the logs differ before."""
+    log = core.log
+    index = request.previous_index
+    if index > log.last_index:
+        return log.last_index + 1
+    term = log.get_term(index)
+    # Entries that are no longer in memory are committed, so they agree.
+    if term is None or term == request.previous_term:
+        return None
+    while index > core.commit_index + 1 and log.get_term(index - 1) == term:
+        index -= 1
+    return index
+
+
+def _store_entries(core: ReplicaCore, entries: tuple[Entry, ...]) -> None:
+    log = core.log
+    for position, entry in enumerate(entries):
+        if entry.index < log.first_index or log.get_term(entry.index) == entry.term:
+            continue
+        if entry.index <= core.commit_index:
+            error = ReplicationError(
+                f"entry {entry.index} of the leader differs from the committed one",
+                code="diverged",
+            )
+            core.fail(error)
+            raise error
+        if entry.index <= log.last_index:
+            log.truncate(entry.index)
+        log.append(entries[position:])
+        return
+
+
+async def _complete_admission(core: ReplicaCore, request: AppendRequest) -> None:
+    if core.identity.is_admitted:
+        return
+    try:
+        await core.complete_admission(
+            request.term, request.leader_id, request.cluster_id
+        )
+    except ColtsfootsparError as error:
+        core.fail(error)
+        raise
+
+
+def _create_reply(
+    core: ReplicaCore, *, match_index: int | None = None, next_index: int = 0
+) -> AppendReply:
+    return AppendReply(
+        term=core.term,
+        is_accepted=match_index is not None,
+        match_index=match_index or 0,
+        next_index=next_index,
+        incarnation=core.identity.incarnation,
+        is_admitted=core.identity.is_admitted,
+    )
--- /dev/null
+++ b/src/coltsfootspar/replication/records.py
@@ -0,0 +1,139 @@
+"""Checksummed records in files.
+
+A file begins with a magic number, a random salt and their CRC32C. Each record
+has a marker, its length and a CRC32C over salt, length and payload. The salt
+keeps payloads that contain the bytes of a record from being taken for one.
+
+A record is written and synced before the next one is begun. So a bad record
+with no valid one behind it is a write that a crash cut short, and a bad record
+in front of a valid one is damage.
+"""
+
+import os
+import struct
+
+import attrs
+import crc32c
+
+from coltsfootspar.exceptions import CorruptLogError
+
+__all__ = [
+    "FILE_HEADER_BYTES",
+    "RecordFile",
+    "create_corrupt_error",
+    "encode_file_header",
+    "encode_record",
+    "parse_records",
+]
+
+_MAGIC = b"CFSR0001"
+_MARKER = b"\xc5rec"
+_SALT_BYTES = 8
+_HEADER = struct.Struct(">4sII")
+_CRC = struct.Struct(">I")
+FILE_HEADER_BYTES = len(_MAGIC) + _SALT_BYTES + _CRC.size
+
+
+@attrs.frozen
+class RecordFile:
+    """Content of a file of records.
+
+    :param salt: empty when the file header is incomplete.
+    :param payloads: payloads of the valid records.
+    :param offsets: position of each of them, bytes.
+    :param valid_bytes: end of the last valid record.
+    """
+
+    salt: bytes
+    payloads: tuple[bytes, ...]
+    offsets: tuple[int, ...]
+    valid_bytes: int
+
+
+def encode_file_header() -> tuple[bytes, bytes]:
+    """Creates the header of a new file.
+
+    :returns: the salt and the header.
+    """
+    salt = os.urandom(_SALT_BYTES)
+    start = _MAGIC + salt
+    return salt, start + _CRC.pack(crc32c.crc32c(start))
+
+
+def encode_record(salt: bytes, payload: bytes) -> bytes:
+    """Encodes a record.
+
+    :param salt: salt of the file.
+    """
+    size = len(payload)
+    return _HEADER.pack(_MARKER, size, _compute_crc(salt, size, payload)) + payload
+
+
+def parse_records(name: str, data: bytes, *, may_be_torn: bool) -> RecordFile:
+    """Parses a file of records.
+
+    :param name: file name for error messages.
+    :param may_be_torn: true for the file that was written last; a record that
+        was cut short at its end is left out.
+    :raises CorruptLogError: when a record is damaged.
+    """
+    salt = _parse_file_header(data)
+    if salt is None:
+        if not may_be_torn or len(data) > FILE_HEADER_BYTES:
+            raise create_corrupt_error(name, 0)
+        return RecordFile(b"", (), (), 0)
+    payloads, offsets = [], []
+    position = FILE_HEADER_BYTES
+    while position < len(data):
+        payload = _parse_record(salt, data, position)
+        if payload is None:
+            if not may_be_torn or _has_later_record(salt, data, position):
+                raise create_corrupt_error(name, position)
+            break
+        payloads.append(payload)
+        offsets.append(position)
+        position += _HEADER.size + len(payload)
+    return RecordFile(salt, tuple(payloads), tuple(offsets), position)
+
+
+def create_corrupt_error(name: str, offset: int) -> CorruptLogError:
+    """Creates the error for a damaged record."""
+    return CorruptLogError(
+        f"{name}: the record at byte {offset} is damaged; move the data folder away "
+        "and start the replica with an empty one, it then gets the state from the "
+        "other replicas",
+        path=name,
+        offset=offset,
+    )
+
+
+def _parse_file_header(data: bytes) -> bytes | None:
+    if len(data) < FILE_HEADER_BYTES or not data.startswith(_MAGIC):
+        return None
+    start = data[: FILE_HEADER_BYTES - _CRC.size]
+    (crc,) = _CRC.unpack_from(data, len(start))
+    return start[len(_MAGIC) :] if crc == crc32c.crc32c(start) else None
+
+
+def _parse_record(salt: bytes, data: bytes, position: int) -> bytes | None:
+    start = position + _HEADER.size
+    if start > len(data):
+        return None
+    marker, size, crc = _HEADER.unpack_from(data, position)
+    if marker != _MARKER or start + size > len(data):
+        return None
+    payload = data[start : start + size]
+    return payload if crc == _compute_crc(salt, size, payload) else None
+
+
+def _has_later_record(salt: bytes, data: bytes, position: int) -> bool:
+    found = data.find(_MARKER, position + 1)
+    while found != -1:
+        if _parse_record(salt, data, found) is not None:
+            return True
+        found = data.find(_MARKER, found + 1)
+    return False
+
+
+def _compute_crc(salt: bytes, size: int, payload: bytes) -> int:
+    return crc32c.crc32c(payload, crc32c.crc32c(salt + size.to_bytes(4)))
--- /dev/null
+++ b/src/coltsfootspar/replication/replica.py
@@ -0,0 +1,327 @@
+"""A replica: serves peers and clients, elects, leads or follows."""
+
+import random
+import time
+from collections.abc import Awaitable, Callable, Sequence
+
+import attrs
+import trio
+from absl import logging
+
+from coltsfootspar.exceptions import (
+    ColtsfootsparError,
+    NoQuorumError,
+    NotLeaderError,
+    ReplicationError,
+    StorageError,
+)
+from coltsfootspar.replication.commands import (
+    Change,
+    ClaimResult,
+    ClaimStatus,
+    Command,
+    Result,
+)
+from coltsfootspar.replication.core import ReplicaCore, ReplicaOptions
+from coltsfootspar.replication.election import (
+    answer_pre_vote,
+    answer_vote,
+    campaign,
+    wait_election_timeout,
+)
+from coltsfootspar.replication.following import answer_append, answer_install
+from coltsfootspar.replication.identity import (
+    Ballot,
+    format_replica,
+    load_ballot,
+    load_identity,
+)
+from coltsfootspar.replication.interfaces import Disk, ReplicaLink
+from coltsfootspar.replication.leadership import create_leadership
+from coltsfootspar.replication.log import open_log
+from coltsfootspar.replication.messages import (
+    ProposeReply,
+    ProposeStatus,
+    ReplicaStatus,
+    TableReply,
+)
+from coltsfootspar.replication.snapshots import create_snapshot_store
+from coltsfootspar.table import Table
+from coltsfootspar.timers import TimerService
+from coltsfootspar.wire import FrameKind, Message, replication as codec
+
+__all__ = ["Replica", "create_replica", "format_replica"]
+
+_MAX_WAIT_SECONDS = 10.0
+_MAX_HISTORY = 1_000
+
+
+@attrs.define(eq=False)
+class Replica:
+    """One replica; :meth:`run` has to be running."""
+
+    _core: ReplicaCore
+    _timers: TimerService
+    _table_cache: tuple[int, bytes] = (-1, b"")
+
+    @property
+    def core(self) -> ReplicaCore:
+        """State of the replica."""
+        return self._core
+
+    async def run(self) -> None:
+        """Takes part in the cluster until cancelled.
+
+        :raises StorageError: when the disk fails.
+        :raises ReplicationError: when the replica was replaced by another.
+        """
+        core = self._core
+        core.timer_start = trio.current_time()
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._write_log)
+                nursery.start_soon(self._play_roles)
+                nursery.start_soon(self._take_snapshots)
+                await core.failed.wait()
+                nursery.cancel_scope.cancel()
+        finally:
+            if core.failure is None:
+                core.failure = StorageError("the replica has stopped", code="stopped")
+            core.step_down(None)
+        raise core.failure
+
+    async def propose(self, command: Command) -> Result:
+        """Commits and applies a command.
+
+        :raises NotLeaderError: when another replica leads, or none.
+        :raises NoQuorumError: when it may be committed or not.
+        """
+        core = self._core
+        core.check_failure()
+        if core.leader_term is None:
+            raise NotLeaderError("not the leader", leader_id=core.leader_id)
+        return await core.leader_term.propose(command)
+
+    def read_table(self) -> Table:
+        """Returns the last committed table that this replica knows."""
+        return self._core.state.table.table
+
+    async def wait_for_version(self, after_version: int) -> Table:
+        """Waits for a table of a higher version than the given one."""
+        while self.read_table().version <= after_version:
+            await self._core.table_changed.wait()
+        return self.read_table()
+
+    def list_history(self, limit: int, before_version: int = 0) -> list[Change]:
+        """Lists changes, the latest first."""
+        return self._core.state.table.list_history(limit, before_version)
+
+    def status(self) -> ReplicaStatus:
+        """Returns the state of this replica."""
+        core = self._core
+        return ReplicaStatus(
+            replica_id=core.replica_id,
+            role=core.role.value,
+            term=core.term,
+            leader_id=core.leader_id or "",
+            last_index=core.log.last_index,
+            commit_index=core.commit_index,
+            snapshot_index=core.snapshots.index,
+            table_version=self.read_table().version,
+            claims=len(core.state.claims.records),
+            is_admitted=core.identity.is_admitted,
+            is_current=core.is_current,
+            incarnation=core.identity.incarnation,
+        )
+
+    async def handle(self, source: str, message: Message) -> Message:
+        """Serves a request of a peer or a client.
+
+        :param source: process that sent it, for the log.
+        :raises FrameError: when the message is malformed.
+        :raises ReplicationError: when it is not for a replica.
+        :raises StorageError: when the replica has stopped.
+        """
+        self._core.check_failure()
+        handler = _HANDLERS.get(message.kind)
+        if handler is None:
+            raise ReplicationError(
+                f"{source} sent {message.kind.name}, which replicas do not serve",
+                code="no-handler",
+            )
+        return await handler(self, message)
+
+    async def _write_log(self) -> None:
+        try:
+            await self._core.log.run()
+        except StorageError as error:
+            self._core.fail(error)
+
+    async def _play_roles(self) -> None:
+        core = self._core
+        try:
+            while True:
+                await wait_election_timeout(core)
+                if await campaign(core):
+                    logging.info("Replica %s leads in %d", core.replica_id, core.term)
+                    await create_leadership(core, self._timers).run()
+                core.timer_start = trio.current_time()
+        except* ColtsfootsparError as group:
+            core.fail(_get_first_error(group))
+
+    async def _take_snapshots(self) -> None:
+        core = self._core
+        try:
+            while True:
+                await core.needs_snapshot.wait()
+                state = core.state.copy()
+                core.applied_bytes = 0
+                if await core.snapshots.write(state):
+                    await core.log.compact(state.index)
+                core.needs_snapshot = trio.Event()
+        except StorageError as error:
+            core.fail(error)
+
+    async def _serve_pre_vote(self, message: Message) -> Message:
+        reply = await answer_pre_vote(self._core, codec.decode_vote(message))
+        return codec.encode_vote_reply(reply)
+
+    async def _serve_vote(self, message: Message) -> Message:
+        reply = await answer_vote(self._core, codec.decode_vote(message))
+        return codec.encode_vote_reply(reply)
+
+    async def _serve_append(self, message: Message) -> Message:
+        reply = await answer_append(self._core, codec.decode_append(message))
+        return codec.encode_append_reply(reply)
+
+    async def _serve_install(self, message: Message) -> Message:
+        reply = await answer_install(self._core, codec.decode_install(message))
+        return codec.encode_install_reply(reply)
+
+    async def _serve_propose(self, message: Message) -> Message:
+        command = codec.decode_propose(message)
+        try:
+            result = await self.propose(command)
+            reply = ProposeReply(ProposeStatus.COMMITTED, result=result)
+        except NotLeaderError as error:
+            leader_id = error.leader_id or ""
+            reply = ProposeReply(ProposeStatus.NOT_LEADER, leader_id, str(error))
+        except NoQuorumError as error:
+            status = ProposeStatus.UNKNOWN if error.may_have_run else ProposeStatus.BUSY
+            reply = ProposeReply(status, message=str(error))
+        return codec.encode_propose_reply(reply)
+
+    async def _serve_read_table(self, message: Message) -> Message:
+        return self._encode_table(after_version=-1)
+
+    async def _serve_watch_table(self, message: Message) -> Message:
+        after_version, wait_ms = codec.decode_table_request(message)
+        core = self._core
+        with trio.move_on_after(min(wait_ms / 1e3, _MAX_WAIT_SECONDS)):
+            # A replica that loses contact answers at once, so that the client
+            # can watch at another one.
+            while self.read_table().version <= after_version and core.is_current:
+                await core.table_changed.wait()
+        return self._encode_table(after_version)
+
+    def _encode_table(self, after_version: int) -> Message:
+        table = self.read_table()
+        if self._table_cache[0] != table.version:
+            self._table_cache = (table.version, codec.encode_table(table))
+        data = self._table_cache[1] if table.version > after_version else b""
+        reply = TableReply(table.version, self._core.is_current, data)
+        return codec.encode_table_reply(reply)
+
+    async def _serve_history(self, message: Message) -> Message:
+        limit, before_version = codec.decode_history_request(message)
+        changes = self.list_history(min(limit, _MAX_HISTORY), before_version)
+        return codec.encode_history(changes)
+
+    async def _serve_look_up(self, message: Message) -> Message:
+        key, wait_ms = codec.decode_look_up(message)
+        with trio.move_on_after(min(wait_ms / 1e3, _MAX_WAIT_SECONDS)):
+            while self._look_up(key).status is ClaimStatus.IN_PROGRESS:
+                await self._wait_claim(key)
+        return codec.encode_look_up_reply(self._look_up(key))
+
+    def _look_up(self, key: str) -> ClaimResult:
+        return self._core.state.claims.look_up(key)
+
+    async def _wait_claim(self, key: str) -> None:
+        event = self._core.get_claim_event(key)
+        try:
+            await event.wait()
+        finally:
+            self._core.drop_claim_event(key, event)
+
+    async def _serve_status(self, message: Message) -> Message:
+        return codec.encode_status(self.status())
+
+
+def _get_first_error(group: BaseExceptionGroup) -> ColtsfootsparError:
+    error = group.exceptions[0]
+    return _get_first_error(error) if isinstance(error, BaseExceptionGroup) else error
+
+
+_HANDLERS: dict[FrameKind, Callable[[Replica, Message], Awaitable[Message]]] = {
+    FrameKind.PRE_VOTE: Replica._serve_pre_vote,
+    FrameKind.VOTE: Replica._serve_vote,
+    FrameKind.APPEND: Replica._serve_append,
+    FrameKind.INSTALL_SNAPSHOT: Replica._serve_install,
+    FrameKind.PROPOSE: Replica._serve_propose,
+    FrameKind.READ_TABLE: Replica._serve_read_table,
+    FrameKind.WATCH_TABLE: Replica._serve_watch_table,
+    FrameKind.HISTORY: Replica._serve_history,
+    FrameKind.LOOK_UP_CLAIM: Replica._serve_look_up,
+    FrameKind.STATUS: Replica._serve_status,
+}
+
+
+async def create_replica(
+    replica_id: str,
+    replica_ids: Sequence[str],
+    *,
+    disk: Disk,
+    link: ReplicaLink,
+    timers: TimerService,
+    source: random.Random,
+    clock: Callable[[], float] = time.time,
+    options: ReplicaOptions | None = None,
+) -> Replica:
+    """Reads the data folder and creates the replica that it belongs to.
+
+    An empty folder is that of a replica which lost its disk; see
+    :func:`format_replica` for a new cluster.
+
+    :param replica_ids: all replicas of the cluster, this one included.
+    :param link: requests to the other replicas.
+    :param source: random numbers for election timeouts and incarnations.
+    :param clock: wall clock, seconds; stamped into commands by the leader.
+    :raises StorageError: when the folder cannot be read or is another replica's.
+    :raises CorruptLogError: when its content is damaged.
+    """
+    identity = await load_identity(disk, replica_id, source)
+    ballot = await load_ballot(disk)
+    snapshots = create_snapshot_store(disk)
+    state = await snapshots.load()
+    log = await open_log(disk, state.index, state.term)
+    if log.last_term > ballot.term:
+        ballot = Ballot(log.last_term)
+    core = ReplicaCore(
+        options=options or ReplicaOptions(),
+        replica_ids=tuple(replica_ids),
+        disk=disk,
+        link=link,
+        random=source,
+        clock=clock,
+        identity=identity,
+        ballot=ballot,
+        log=log,
+        snapshots=snapshots,
+        state=state,
+        commit_index=state.index,
+    )
+    log.on_synced = lambda: core.leader_term and core.leader_term.advance()
+    if identity.is_admitted:
+        core.admitted.set()
+    return Replica(core, timers)
--- /dev/null
+++ b/src/coltsfootspar/replication/tests/harness.py
@@ -0,0 +1,166 @@
+"""Replicas on fake disks and links, for the tests of this package."""
+
+import contextlib
+import random
+
+import trio
+
+from coltsfootspar.exceptions import ColtsfootsparError, LinkError
+from coltsfootspar.replication import (
+    ReplicaOptions,
+    create_replica,
+    create_replication_client,
+    format_replica,
+)
+from coltsfootspar.testing import create_disk, create_network
+from coltsfootspar.timers import create_timer_service
+
+CLUSTER_ID = "test-cluster"
+ROW = "specs GET /specs/{id}"
+
+
+class NamedLink:
+    """Link of one process on the fake network."""
+
+    def __init__(self, network, name):
+        self.network = network
+        self.name = name
+
+    async def request(self, replica_id, message):
+        return await self.network.request(self.name, replica_id, message)
+
+
+class Cluster:
+    """A few replicas that can be started, crashed and given new disks."""
+
+    def __init__(self, nursery, network, seed, size, options):
+        self.nursery = nursery
+        self.network = network
+        self.random = random.Random(seed)
+        self.replica_ids = [f"r{number}" for number in range(1, size + 1)]
+        self.disks = {name: self.create_disk() for name in self.replica_ids}
+        self.options = options or ReplicaOptions()
+        self.replicas = {}
+        self.scopes = {}
+        self.errors = {}
+
+    def create_disk(self):
+        return create_disk(self.random.getrandbits(32), latency=0.001)
+
+    async def start_all(self):
+        for name in self.replica_ids:
+            await format_replica(self.disks[name], CLUSTER_ID, name)
+            await self.start(name)
+
+    async def start(self, name):
+        timers = create_timer_service(random.Random(1))
+        replica = await create_replica(
+            name,
+            self.replica_ids,
+            disk=self.disks[name],
+            link=NamedLink(self.network, name),
+            timers=timers,
+            source=random.Random(self.random.getrandbits(32)),
+            clock=trio.current_time,
+            options=self.options,
+        )
+        self.replicas[name] = replica
+        scope = self.scopes[name] = trio.CancelScope()
+        self.nursery.start_soon(self._run, name, replica, timers, scope)
+
+        async def handle(source, message):
+            try:
+                return await replica.handle(source, message)
+            except ColtsfootsparError as error:
+                raise LinkError(str(error), may_have_run=True) from error
+
+        self.network.attach(name, handle)
+
+    async def _run(self, name, replica, timers, scope):
+        with scope:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(timers.run)
+                try:
+                    await replica.run()
+                except ColtsfootsparError as error:
+                    self.errors[name] = error
+                    if self.replicas.get(name) is replica:
+                        self.network.attach(name, None)
+                nursery.cancel_scope.cancel()
+
+    async def crash(self, name):
+        """Stops a replica without warning; unsynced data may be lost."""
+        self.network.attach(name, None)
+        self.disks[name].crash()
+        self.scopes.pop(name).cancel()
+        self.replicas.pop(name)
+        await trio.sleep(0.01)
+        self.disks[name].restart()
+
+    async def restart(self, name):
+        await self.crash(name)
+        await self.start(name)
+
+    async def replace_disk(self, name):
+        await self.crash(name)
+        self.disks[name] = self.create_disk()
+        await self.start(name)
+
+    def isolate(self, name, others=None):
+        everyone = set(self.replica_ids) if others is None else set(others)
+        self.network.cut({name}, everyone - {name})
+
+    def rejoin(self, name, others=None):
+        everyone = set(self.replica_ids) if others is None else set(others)
+        self.network.heal({name}, everyone - {name})
+
+    def find_leader(self):
+        """Returns the leader of the highest term, or None."""
+        leaders = [
+            (replica.status().term, name)
+            for name, replica in self.replicas.items()
+            if replica.status().role == "leader"
+        ]
+        return max(leaders)[1] if leaders else None
+
+    async def wait_leader(self, seconds=20):
+        with trio.fail_after(seconds):
+            while (leader := self.find_leader()) is None:
+                await trio.sleep(0.05)
+        return leader
+
+    async def wait_equal(self, seconds=30):
+        """Waits until all running replicas have applied the same entries."""
+
+        def is_equal():
+            states = [replica.core.state for replica in self.replicas.values()]
+            lasts = {replica.core.log.last_index for replica in self.replicas.values()}
+            return len({state.index for state in states} | lasts) == 1
+
+        with trio.fail_after(seconds):
+            while not is_equal():
+                await trio.sleep(0.05)
+
+    def create_client(self, name="client", timeout=8.0, order=None):
+        return create_replication_client(
+            order or self.replica_ids,
+            NamedLink(self.network, name),
+            random.Random(self.random.getrandbits(32)),
+            timeout=timeout,
+        )
+
+
+@contextlib.asynccontextmanager
+async def open_cluster(size=3, seed=1, options=None):
+    """Runs a new cluster."""
+    async with trio.open_nursery() as nursery:
+        network = create_network(nursery, seed)
+        cluster = Cluster(nursery, network, seed, size, options)
+        await cluster.start_all()
+        yield cluster
+        nursery.cancel_scope.cancel()
+
+
+def list_contents(state):
+    """Returns all that a state holds, for comparison."""
+    return sorted(map(repr, state.list_items()))
--- a/src/coltsfootspar/testing/__init__.py
+++ b/src/coltsfootspar/testing/__init__.py
@@ -1,5 +1,13 @@
 """Small fakes of links and disks for tests and the bench."""
 
+from coltsfootspar.testing.disks import DiskCrashError, FakeDisk, create_disk
 from coltsfootspar.testing.links import FakeNetwork, LinkState, create_network
 
-__all__ = ["FakeNetwork", "LinkState", "create_network"]
+__all__ = [
+    "DiskCrashError",
+    "FakeDisk",
+    "FakeNetwork",
+    "LinkState",
+    "create_disk",
+    "create_network",
+]
--- a/src/coltsfootspar/wire/frames.py
+++ b/src/coltsfootspar/wire/frames.py
@@ -61,8 +61,6 @@
     APPEND_REPLY = 52
     INSTALL_SNAPSHOT = 53
     INSTALL_SNAPSHOT_REPLY = 54
-    REJOIN = 55
-    REJOIN_REPLY = 56
 
     PROPOSE = 64
     PROPOSE_REPLY = 65
--- /dev/null
+++ b/src/coltsfootspar/wire/replication.py
@@ -0,0 +1,795 @@
+"""Encoding of commands, of the replicated state and of the replicas' messages."""
+
+import struct
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+import capnp
+
+from coltsfootspar.exceptions import FrameError
+from coltsfootspar.replication.commands import (
+    Abandon,
+    AdmitReplica,
+    Change,
+    ChangeResult,
+    ChangeStatus,
+    Claim,
+    ClaimRecord,
+    ClaimResult,
+    ClaimStatus,
+    Command,
+    EditCells,
+    Entry,
+    Expire,
+    Finish,
+    NoOperation,
+)
+from coltsfootspar.replication.messages import (
+    AppendReply,
+    AppendRequest,
+    InstallReply,
+    InstallRequest,
+    ProposeReply,
+    ProposeStatus,
+    ReplicaStatus,
+    TableReply,
+    VoteReply,
+    VoteRequest,
+)
+from coltsfootspar.table import (
+    CellEdit,
+    Edit,
+    Row,
+    RowRemoval,
+    Table,
+    create_table,
+    parse_row_key,
+)
+from coltsfootspar.table.columns import COLUMNS, CellValue
+from coltsfootspar.table.rows import create_row
+from coltsfootspar.wire.frames import FrameKind, Message
+from coltsfootspar.wire.schemas import decode_struct, load_schema
+
+__all__ = [
+    "Incarnation",
+    "KeptResult",
+    "decode_append",
+    "decode_append_reply",
+    "decode_command",
+    "decode_entries",
+    "decode_history",
+    "decode_history_request",
+    "decode_install",
+    "decode_install_reply",
+    "decode_look_up",
+    "decode_look_up_reply",
+    "decode_propose",
+    "decode_propose_reply",
+    "decode_snapshot_item",
+    "decode_status",
+    "decode_table",
+    "decode_table_reply",
+    "decode_table_request",
+    "decode_vote",
+    "decode_vote_reply",
+    "encode_append",
+    "encode_append_reply",
+    "encode_command",
+    "encode_entries",
+    "encode_history",
+    "encode_history_request",
+    "encode_install",
+    "encode_install_reply",
+    "encode_look_up",
+    "encode_look_up_reply",
+    "encode_propose",
+    "encode_propose_reply",
+    "encode_snapshot_item",
+    "encode_status",
+    "encode_table",
+    "encode_table_reply",
+    "encode_table_request",
+    "encode_vote",
+    "encode_vote_reply",
+]
+
+_schema = load_schema("replication")
+_ENTRY = struct.Struct(">QQQI")
+
+KeptResult = tuple[str, ChangeResult]
+Incarnation = tuple[str, int]
+
+
+def _decode(kind: Any, payload: bytes, read: Callable[[Any], Any]) -> Any:
+    """Decodes a payload; malformed fields become a FrameError."""
+    reader = decode_struct(kind, payload)
+    try:
+        return read(reader)
+    except (capnp.KjException, UnicodeDecodeError, ValueError, KeyError) as error:
+        name = kind.schema.node.displayName
+        raise FrameError(f"{name} has a malformed field") from error
+
+
+# Values and edits
+
+
+def _write_value(value: CellValue | None) -> dict:
+    if value is None:
+        return {"none": None}
+    if isinstance(value, str):
+        return {"text": str(value)}
+    if isinstance(value, int):
+        return {"integer": value}
+    return {"number": float(value)}
+
+
+def _read_value(value: Any) -> CellValue | None:
+    kind = value.which()
+    return None if kind == "none" else getattr(value, kind)
+
+
+def _write_edit(edit: Edit) -> dict:
+    expected = edit.expected_version
+    fields = {
+        "rowKey": edit.row_key,
+        "hasExpectedVersion": expected is not None,
+        "expectedVersion": expected or 0,
+    }
+    if isinstance(edit, RowRemoval):
+        return fields | {"isRemoval": True}
+    return fields | {"column": edit.column, "value": _write_value(edit.value)}
+
+
+def _read_edit(edit: Any) -> Edit:
+    expected = edit.expectedVersion if edit.hasExpectedVersion else None
+    if edit.isRemoval:
+        return RowRemoval(edit.rowKey, expected)
+    return CellEdit(edit.rowKey, edit.column, _read_value(edit.value), expected)
+
+
+# Commands and entries
+
+
+def encode_command(command: Command) -> bytes:
+    """Encodes a command."""
+    return _schema.Command.new_message(**_write_command(command)).to_bytes()
+
+
+def _write_command(command: Command) -> dict:
+    match command:
+        case EditCells():
+            edits = [_write_edit(edit) for edit in command.edits]
+            fields = {"changeId": command.change_id, "operator": command.operator}
+            return {"editCells": fields | {"edits": edits}}
+        case Claim():
+            return {
+                "claim": {
+                    "key": command.key,
+                    "fingerprint": command.fingerprint,
+                    "claimId": command.claim_id,
+                    "nodeId": command.node_id,
+                    "nodeIncarnation": command.node_incarnation,
+                    "lifetimeMs": command.lifetime_ms,
+                    "retentionMs": command.retention_ms,
+                }
+            }
+        case Finish():
+            return {
+                "finish": {
+                    "key": command.key,
+                    "claimId": command.claim_id,
+                    "answer": command.answer,
+                    "isKept": command.is_kept,
+                }
+            }
+        case Abandon():
+            return {
+                "abandon": {
+                    "key": command.key,
+                    "claimId": command.claim_id,
+                    "mayHaveRun": command.may_have_run,
+                }
+            }
+        case AdmitReplica():
+            return {
+                "admitReplica": {
+                    "replicaId": command.replica_id,
+                    "incarnation": command.incarnation,
+                }
+            }
+        case Expire():
+            return {"expire": None}
+    return {"noOperation": None}
+
+
+def decode_command(data: bytes) -> Command:
+    """Decodes a command.
+
+    :raises FrameError: when the data is not a command.
+    """
+    return _decode(_schema.Command, data, _read_command)
+
+
+def _read_command(reader: Any) -> Command:
+    match reader.which():
+        case "editCells":
+            body = reader.editCells
+            edits = tuple(_read_edit(edit) for edit in body.edits)
+            return EditCells(body.changeId, body.operator, edits)
+        case "claim":
+            body = reader.claim
+            return Claim(
+                body.key,
+                bytes(body.fingerprint),
+                body.claimId,
+                body.nodeId,
+                body.nodeIncarnation,
+                body.lifetimeMs,
+                body.retentionMs,
+            )
+        case "finish":
+            body = reader.finish
+            return Finish(body.key, body.claimId, bytes(body.answer), body.isKept)
+        case "abandon":
+            body = reader.abandon
+            return Abandon(body.key, body.claimId, body.mayHaveRun)
+        case "admitReplica":
+            body = reader.admitReplica
+            return AdmitReplica(body.replicaId, body.incarnation)
+        case "expire":
+            return Expire()
+    return NoOperation()
+
+
+def encode_entries(entries: tuple[Entry, ...] | list[Entry]) -> bytes:
+    """Encodes entries one after the other, for the log and for messages."""
+    parts = []
+    for entry in entries:
+        header = (entry.index, entry.term, entry.time_ms, len(entry.data))
+        parts.append(_ENTRY.pack(*header))
+        parts.append(entry.data)
+    return b"".join(parts)
+
+
+def decode_entries(data: bytes) -> tuple[Entry, ...]:
+    """Decodes entries.
+
+    :raises FrameError: when the data ends inside an entry.
+    """
+    entries = []
+    position = 0
+    while position < len(data):
+        start = position + _ENTRY.size
+        if start > len(data):
+            raise FrameError("entry header is cut short")
+        index, term, time_ms, size = _ENTRY.unpack_from(data, position)
+        position = start + size
+        if position > len(data):
+            raise FrameError("entry is cut short")
+        entries.append(Entry(index, term, time_ms, data[start:position]))
+    return tuple(entries)
+
+
+# Results, history, table, claims
+
+
+def _write_change_result(result: ChangeResult) -> dict:
+    return {
+        "status": result.status.value,
+        "version": result.version,
+        "code": result.code,
+        "message": result.message,
+        "value": _write_value(result.value),
+    }
+
+
+def _read_change_result(reader: Any) -> ChangeResult:
+    return ChangeResult(
+        ChangeStatus(reader.status),
+        reader.version,
+        reader.code,
+        reader.message,
+        _read_value(reader.value),
+    )
+
+
+def _write_claim_result(result: ClaimResult) -> dict:
+    return {
+        "status": result.status.value,
+        "answer": result.answer,
+        "nodeId": result.node_id,
+    }
+
+
+def _read_claim_result(reader: Any) -> ClaimResult:
+    return ClaimResult(ClaimStatus(reader.status), bytes(reader.answer), reader.nodeId)
+
+
+def _write_change(change: Change) -> dict:
+    return {
+        "version": change.version,
+        "timeMs": change.time_ms,
+        "changeId": change.change_id,
+        "operator": change.operator,
+        "edits": [_write_edit(edit) for edit in change.edits],
+    }
+
+
+def _read_change(reader: Any) -> Change:
+    return Change(
+        reader.version,
+        reader.timeMs,
+        reader.changeId,
+        reader.operator,
+        tuple(_read_edit(edit) for edit in reader.edits),
+    )
+
+
+def _write_table(table: Table) -> dict:
+    rows = [
+        {
+            "key": name,
+            "cells": [
+                {
+                    "column": column.name,
+                    "value": _write_value(row.get_value(column.name)),
+                    "version": row.versions[column.name],
+                }
+                for column in COLUMNS
+            ],
+        }
+        for name, row in table.rows.items()
+    ]
+    return {"version": table.version, "rows": rows}
+
+
+def _read_table(reader: Any) -> Table:
+    return create_table([_read_row(row) for row in reader.rows], reader.version)
+
+
+def _read_row(reader: Any) -> Row:
+    values = {cell.column: _read_value(cell.value) for cell in reader.cells}
+    versions = {cell.column: cell.version for cell in reader.cells}
+    # A newer version of the program may know columns that this one does not.
+    known = {c.name: values[c.name] for c in COLUMNS if c.name in values}
+    row = create_row(parse_row_key(reader.key), **known)
+    known_versions = {name: versions[name] for name in known}
+    return attrs.evolve(row, versions={**row.versions, **known_versions})
+
+
+def encode_table(table: Table) -> bytes:
+    """Encodes a table."""
+    return _schema.Table.new_message(**_write_table(table)).to_bytes()
+
+
+def decode_table(data: bytes) -> Table:
+    """Decodes a table.
+
+    :raises FrameError: when the data is not a table.
+    """
+    return _decode(_schema.Table, data, _read_table)
+
+
+def _write_record(record: ClaimRecord) -> dict:
+    return {
+        "key": record.key,
+        "status": record.status.value,
+        "fingerprint": record.fingerprint,
+        "claimId": record.claim_id,
+        "nodeId": record.node_id,
+        "nodeIncarnation": record.node_incarnation,
+        "expiresMs": record.expires_ms,
+        "answer": record.answer,
+        "retentionMs": record.retention_ms,
+    }
+
+
+def _read_record(reader: Any) -> ClaimRecord:
+    return ClaimRecord(
+        reader.key,
+        ClaimStatus(reader.status),
+        bytes(reader.fingerprint),
+        reader.claimId,
+        reader.nodeId,
+        reader.nodeIncarnation,
+        reader.expiresMs,
+        reader.retentionMs,
+        bytes(reader.answer),
+    )
+
+
+_ITEM_WRITERS = {
+    "timeMs": lambda value: value,
+    "table": _write_table,
+    "change": _write_change,
+    "result": lambda kept: {
+        "changeId": kept[0],
+        "result": _write_change_result(kept[1]),
+    },
+    "claim": _write_record,
+    "abandonedClaim": lambda value: value,
+    "replica": lambda pair: {"processId": pair[0], "incarnation": pair[1]},
+    "node": lambda pair: {"processId": pair[0], "incarnation": pair[1]},
+}
+_ITEM_READERS = {
+    "timeMs": lambda value: value,
+    "table": _read_table,
+    "change": _read_change,
+    "result": lambda reader: (reader.changeId, _read_change_result(reader.result)),
+    "claim": _read_record,
+    "abandonedClaim": lambda value: value,
+    "replica": lambda reader: (reader.processId, reader.incarnation),
+    "node": lambda reader: (reader.processId, reader.incarnation),
+}
+
+
+def encode_snapshot_item(kind: str, value: Any) -> bytes:
+    """Encodes one item of a snapshot.
+
+    :param kind: name of the union member in ``replication.capnp``.
+    """
+    fields = {kind: _ITEM_WRITERS[kind](value)}
+    return _schema.SnapshotItem.new_message(**fields).to_bytes()
+
+
+def decode_snapshot_item(data: bytes) -> tuple[str, Any]:
+    """Decodes one item of a snapshot.
+
+    :returns: its kind and value.
+    :raises FrameError: when the data is not an item.
+    """
+
+    def read(reader: Any) -> tuple[str, Any]:
+        kind = reader.which()
+        name = str(kind)
+        return name, _ITEM_READERS[name](getattr(reader, name))
+
+    return _decode(_schema.SnapshotItem, data, read)
+
+
+# Messages between replicas
+
+
+def encode_vote(kind: FrameKind, request: VoteRequest) -> Message:
+    """Encodes a vote request as a message of ``VOTE`` or ``PRE_VOTE``."""
+    payload = _schema.VoteRequest.new_message(
+        term=request.term,
+        candidateId=request.candidate_id,
+        lastIndex=request.last_index,
+        lastTerm=request.last_term,
+    )
+    return Message(kind, payload.to_bytes())
+
+
+def decode_vote(message: Message) -> VoteRequest:
+    """Decodes a vote request."""
+    return _decode(
+        _schema.VoteRequest,
+        message.payload,
+        lambda r: VoteRequest(r.term, r.candidateId, r.lastIndex, r.lastTerm),
+    )
+
+
+def encode_vote_reply(reply: VoteReply) -> Message:
+    """Encodes the reply to a vote request."""
+    payload = _schema.VoteReply.new_message(
+        term=reply.term, isGranted=reply.is_granted, incarnation=reply.incarnation
+    )
+    return Message(FrameKind.VOTE_REPLY, payload.to_bytes())
+
+
+def decode_vote_reply(message: Message) -> VoteReply:
+    """Decodes the reply to a vote request."""
+    return _decode(
+        _schema.VoteReply,
+        message.payload,
+        lambda r: VoteReply(r.term, r.isGranted, r.incarnation),
+    )
+
+
+def encode_append(request: AppendRequest) -> Message:
+    """Encodes an append request; the entries are the body."""
+    payload = _schema.AppendRequest.new_message(
+        term=request.term,
+        leaderId=request.leader_id,
+        previousIndex=request.previous_index,
+        previousTerm=request.previous_term,
+        commitIndex=request.commit_index,
+        clusterId=request.cluster_id,
+    )
+    body = encode_entries(request.entries)
+    return Message(FrameKind.APPEND, payload.to_bytes(), body)
+
+
+def decode_append(message: Message) -> AppendRequest:
+    """Decodes an append request."""
+    entries = decode_entries(message.body)
+    return _decode(
+        _schema.AppendRequest,
+        message.payload,
+        lambda r: AppendRequest(
+            r.term,
+            r.leaderId,
+            r.previousIndex,
+            r.previousTerm,
+            r.commitIndex,
+            r.clusterId,
+            entries,
+        ),
+    )
+
+
+def encode_append_reply(reply: AppendReply) -> Message:
+    """Encodes the reply to an append request."""
+    payload = _schema.AppendReply.new_message(
+        term=reply.term,
+        isAccepted=reply.is_accepted,
+        matchIndex=reply.match_index,
+        nextIndex=reply.next_index,
+        incarnation=reply.incarnation,
+        isAdmitted=reply.is_admitted,
+    )
+    return Message(FrameKind.APPEND_REPLY, payload.to_bytes())
+
+
+def decode_append_reply(message: Message) -> AppendReply:
+    """Decodes the reply to an append request."""
+    return _decode(
+        _schema.AppendReply,
+        message.payload,
+        lambda r: AppendReply(
+            r.term,
+            r.isAccepted,
+            r.matchIndex,
+            r.nextIndex,
+            r.incarnation,
+            r.isAdmitted,
+        ),
+    )
+
+
+def encode_install(request: InstallRequest) -> Message:
+    """Encodes a part of a snapshot; its bytes are the body."""
+    payload = _schema.InstallRequest.new_message(
+        term=request.term,
+        leaderId=request.leader_id,
+        snapshotIndex=request.snapshot_index,
+        snapshotTerm=request.snapshot_term,
+        offset=request.offset,
+        size=request.size,
+        clusterId=request.cluster_id,
+    )
+    return Message(FrameKind.INSTALL_SNAPSHOT, payload.to_bytes(), request.data)
+
+
+def decode_install(message: Message) -> InstallRequest:
+    """Decodes a part of a snapshot."""
+    return _decode(
+        _schema.InstallRequest,
+        message.payload,
+        lambda r: InstallRequest(
+            r.term,
+            r.leaderId,
+            r.snapshotIndex,
+            r.snapshotTerm,
+            r.offset,
+            r.size,
+            r.clusterId,
+            message.body,
+        ),
+    )
+
+
+def encode_install_reply(reply: InstallReply) -> Message:
+    """Encodes the reply to a part of a snapshot."""
+    payload = _schema.InstallReply.new_message(
+        term=reply.term,
+        nextOffset=reply.next_offset,
+        isInstalled=reply.is_installed,
+    )
+    return Message(FrameKind.INSTALL_SNAPSHOT_REPLY, payload.to_bytes())
+
+
+def decode_install_reply(message: Message) -> InstallReply:
+    """Decodes the reply to a part of a snapshot."""
+    return _decode(
+        _schema.InstallReply,
+        message.payload,
+        lambda r: InstallReply(r.term, r.nextOffset, r.isInstalled),
+    )
+
+
+# Messages of clients
+
+
+def encode_propose(command: Command) -> Message:
+    """Encodes a proposal; the command is the body."""
+    return Message(FrameKind.PROPOSE, body=encode_command(command))
+
+
+def decode_propose(message: Message) -> Command:
+    """Decodes a proposal."""
+    return decode_command(message.body)
+
+
+def encode_propose_reply(reply: ProposeReply) -> Message:
+    """Encodes the reply to a proposal; a kept answer is the body."""
+    fields = {
+        "status": reply.status.value,
+        "leaderId": reply.leader_id,
+        "message": reply.message,
+    }
+    body = b""
+    if isinstance(reply.result, ChangeResult):
+        fields["change"] = _write_change_result(reply.result)
+    elif isinstance(reply.result, ClaimResult):
+        body = reply.result.answer
+        bare = ClaimResult(reply.result.status, node_id=reply.result.node_id)
+        fields["claim"] = _write_claim_result(bare)
+    payload = _schema.ProposeReply.new_message(**fields)
+    return Message(FrameKind.PROPOSE_REPLY, payload.to_bytes(), body)
+
+
+def decode_propose_reply(message: Message) -> ProposeReply:
+    """Decodes the reply to a proposal."""
+
+    def read(reader: Any) -> ProposeReply:
+        result = None
+        if reader.which() == "change":
+            result = _read_change_result(reader.change)
+        elif reader.which() == "claim":
+            claim = _read_claim_result(reader.claim)
+            result = ClaimResult(claim.status, message.body, claim.node_id)
+        status = ProposeStatus(reader.status)
+        return ProposeReply(status, reader.leaderId, reader.message, result)
+
+    return _decode(_schema.ProposeReply, message.payload, read)
+
+
+def encode_table_request(after_version: int, wait_ms: int) -> Message:
+    """Encodes a watch of the table."""
+    payload = _schema.TableRequest.new_message(
+        afterVersion=after_version, waitMs=wait_ms
+    )
+    return Message(FrameKind.WATCH_TABLE, payload.to_bytes())
+
+
+def decode_table_request(message: Message) -> tuple[int, int]:
+    """Decodes a watch of the table.
+
+    :returns: the version that the client has and the longest wait, ms.
+    """
+    return _decode(
+        _schema.TableRequest, message.payload, lambda r: (r.afterVersion, r.waitMs)
+    )
+
+
+def encode_table_reply(reply: TableReply) -> Message:
+    """Encodes the table; its data is the body."""
+    payload = _schema.TableReply.new_message(
+        version=reply.version,
+        hasTable=bool(reply.table_data),
+        isCurrent=reply.is_current,
+    )
+    return Message(FrameKind.TABLE, payload.to_bytes(), reply.table_data)
+
+
+def decode_table_reply(message: Message) -> TableReply:
+    """Decodes the reply to a read or a watch of the table."""
+    return _decode(
+        _schema.TableReply,
+        message.payload,
+        lambda r: TableReply(
+            r.version, r.isCurrent, message.body if r.hasTable else b""
+        ),
+    )
+
+
+def encode_history_request(limit: int, before_version: int) -> Message:
+    """Encodes a request for changes.
+
+    :param before_version: only older changes, 0 for the latest.
+    """
+    payload = _schema.HistoryRequest.new_message(
+        limit=limit, beforeVersion=before_version
+    )
+    return Message(FrameKind.HISTORY, payload.to_bytes())
+
+
+def decode_history_request(message: Message) -> tuple[int, int]:
+    """Decodes a request for changes.
+
+    :returns: limit and version.
+    """
+    return _decode(
+        _schema.HistoryRequest, message.payload, lambda r: (r.limit, r.beforeVersion)
+    )
+
+
+def encode_history(changes: list[Change]) -> Message:
+    """Encodes changes; they are the body, which may be large."""
+    items = [_write_change(change) for change in changes]
+    body = _schema.HistoryReply.new_message(changes=items).to_bytes()
+    return Message(FrameKind.HISTORY_REPLY, body=body)
+
+
+def decode_history(message: Message) -> tuple[Change, ...]:
+    """Decodes changes."""
+    return _decode(
+        _schema.HistoryReply,
+        message.body,
+        lambda r: tuple(_read_change(change) for change in r.changes),
+    )
+
+
+def encode_look_up(key: str, wait_ms: int) -> Message:
+    """Encodes a question for the state of a key."""
+    payload = _schema.LookUpRequest.new_message(key=key, waitMs=wait_ms)
+    return Message(FrameKind.LOOK_UP_CLAIM, payload.to_bytes())
+
+
+def decode_look_up(message: Message) -> tuple[str, int]:
+    """Decodes a question for the state of a key.
+
+    :returns: the key and the longest wait while it is in progress, ms.
+    """
+    return _decode(_schema.LookUpRequest, message.payload, lambda r: (r.key, r.waitMs))
+
+
+def encode_look_up_reply(result: ClaimResult) -> Message:
+    """Encodes the state of a key; a kept answer is the body."""
+    payload = _schema.ClaimResult.new_message(
+        status=result.status.value, nodeId=result.node_id
+    )
+    return Message(FrameKind.LOOK_UP_CLAIM_REPLY, payload.to_bytes(), result.answer)
+
+
+def decode_look_up_reply(message: Message) -> ClaimResult:
+    """Decodes the state of a key."""
+    return _decode(
+        _schema.ClaimResult,
+        message.payload,
+        lambda r: ClaimResult(ClaimStatus(r.status), message.body, r.nodeId),
+    )
+
+
+def encode_status(status: ReplicaStatus) -> Message:
+    """Encodes the state of a replica."""
+    payload = _schema.StatusReply.new_message(
+        replicaId=status.replica_id,
+        role=status.role,
+        term=status.term,
+        leaderId=status.leader_id,
+        lastIndex=status.last_index,
+        commitIndex=status.commit_index,
+        snapshotIndex=status.snapshot_index,
+        tableVersion=status.table_version,
+        claims=status.claims,
+        isAdmitted=status.is_admitted,
+        isCurrent=status.is_current,
+        incarnation=status.incarnation,
+    )
+    return Message(FrameKind.STATUS_REPLY, payload.to_bytes())
+
+
+def decode_status(message: Message) -> ReplicaStatus:
+    """Decodes the state of a replica."""
+    return _decode(
+        _schema.StatusReply,
+        message.payload,
+        lambda r: ReplicaStatus(
+            replica_id=r.replicaId,
+            role=r.role,
+            term=r.term,
+            leader_id=r.leaderId,
+            last_index=r.lastIndex,
+            commit_index=r.commitIndex,
+            snapshot_index=r.snapshotIndex,
+            table_version=r.tableVersion,
+            claims=r.claims,
+            is_admitted=r.isAdmitted,
+            is_current=r.isCurrent,
+            incarnation=r.incarnation,
+        ),
+    )
