Map the claim errors claims-full and claim-rejected to status 503

The executor of at-most-once rows reports them as not run; without an entry they would be answered with 502, which says that a backend server has failed.

--- a/src/coltsfootspar/node/replies.py
+++ b/src/coltsfootspar/node/replies.py
@@ -27,6 +27,8 @@
     "no-row": 404,
     "no-backend-server": 503,
     "no-quorum": 503,
+    "claims-full": 503,
+    "claim-rejected": 503,
     "key-in-progress": 409,
     "outcome-unknown": 409,
     "key-reused": 409,
