--- a/src/coltsfootspar/claims/__init__.py
+++ b/src/coltsfootspar/claims/__init__.py
@@ -1,5 +1,6 @@
 """At-most-once execution."""
 
+from coltsfootspar.claims.executor import ClaimingExecutor, create_once_executor
 from coltsfootspar.claims.interfaces import OnceExecutor
 
-__all__ = ["OnceExecutor"]
+__all__ = ["ClaimingExecutor", "OnceExecutor", "create_once_executor"]
--- a/src/coltsfootspar/replication/__init__.py
+++ b/src/coltsfootspar/replication/__init__.py
@@ -2,6 +2,7 @@
 
 from coltsfootspar.replication.client import (
     ReplicationClient,
+    create_id,
     create_local_link,
     create_replication_client,
 )
@@ -40,6 +41,7 @@
     "ReplicaStatus",
     "ReplicationClient",
     "Role",
+    "create_id",
     "create_local_link",
     "create_replica",
     "create_replication_client",
--- a/src/coltsfootspar/replication/client.py
+++ b/src/coltsfootspar/replication/client.py
@@ -38,6 +38,7 @@
 __all__ = [
     "LocalReplicaLink",
     "ReplicationClient",
+    "create_id",
     "create_local_link",
     "create_replication_client",
 ]
--- a/src/coltsfootspar/replication/tests/harness.py
+++ b/src/coltsfootspar/replication/tests/harness.py
@@ -1,6 +1,7 @@
 """Replicas on fake disks and links, for the tests of this package."""
 
 import contextlib
+import itertools
 import random
 
 import trio
@@ -124,22 +125,18 @@
         return max(leaders)[1] if leaders else None
 
     async def wait_leader(self, seconds=20):
-        with trio.fail_after(seconds):
-            while (leader := self.find_leader()) is None:
-                await trio.sleep(0.05)
-        return leader
+        await wait_until(lambda: self.find_leader() is not None, seconds)
+        return self.find_leader()
 
     async def wait_equal(self, seconds=30):
         """Waits until all running replicas have applied the same entries."""
 
         def is_equal():
-            states = [replica.core.state for replica in self.replicas.values()]
-            lasts = {replica.core.log.last_index for replica in self.replicas.values()}
-            return len({state.index for state in states} | lasts) == 1
+            cores = [replica.core for replica in self.replicas.values()]
+            lasts = {core.log.last_index for core in cores}
+            return len(lasts | {core.state.index for core in cores}) == 1
 
-        with trio.fail_after(seconds):
-            while not is_equal():
-                await trio.sleep(0.05)
+        await wait_until(is_equal, seconds)
 
     def create_client(self, name="client", timeout=8.0, order=None):
         return create_replication_client(
@@ -161,6 +158,15 @@
         nursery.cancel_scope.cancel()
 
 
+async def wait_until(condition, seconds):
+    """Waits until a condition is true, or fails."""
+    with trio.fail_after(seconds):
+        for _ in itertools.count():
+            if condition():
+                return
+            await trio.sleep(0.05)
+
+
 def list_contents(state):
     """Returns all that a state holds, for comparison."""
     return sorted(map(repr, state.list_items()))
