--- a/src/coltsfootspar/admin/replicated.py
+++ b/src/coltsfootspar/admin/replicated.py
@@ -75,9 +75,7 @@
 
 def _raise_unless_applied(result: ChangeResult) -> None:
     if result.status is ChangeStatus.CONFLICT:
-        raise ConflictError(
-            result.message, value=result.value, version=result.version
-        )
+        raise ConflictError(result.message, value=result.value, version=result.version)
     if result.status is not ChangeStatus.APPLIED:
         raise TableError(result.message, code=result.code)
 
--- /dev/null
+++ b/src/coltsfootspar/replica/__init__.py
@@ -0,0 +1,1 @@
+"""The replica program."""
