Add admission controller, entry gate and plain versions for comparison

The pipeline needs limits and refusals on both sides of a call. The controller has a concurrency limit that follows latency, a bounded queue ordered by importance, progress and deadline, separate room for long rows and an overload threshold given out as a signal. The gate checks the limits of rows and learned signals.

--- a/src/coltsfootspar/admission/__init__.py
+++ b/src/coltsfootspar/admission/__init__.py
@@ -1,5 +1,11 @@
 """Admission: limits, queues and refusals."""
 
+from coltsfootspar.admission.baseline import (
+    create_baseline_controller,
+    create_baseline_gate,
+)
+from coltsfootspar.admission.controller import create_admission_controller
+from coltsfootspar.admission.gate import create_entry_gate
 from coltsfootspar.admission.interfaces import (
     AdmissionController,
     EntryGate,
@@ -7,4 +13,13 @@
     Permit,
 )
 
-__all__ = ["AdmissionController", "EntryGate", "EntryPass", "Permit"]
+__all__ = [
+    "AdmissionController",
+    "EntryGate",
+    "EntryPass",
+    "Permit",
+    "create_admission_controller",
+    "create_baseline_controller",
+    "create_baseline_gate",
+    "create_entry_gate",
+]
