--- a/src/coltsfootspar/replica/program.py
+++ b/src/coltsfootspar/replica/program.py
@@ -17,7 +17,7 @@
     open_disk,
 )
 from coltsfootspar.routing import PeerLinks, create_peer_links
-from coltsfootspar.settings import ReplicaSettings
+from coltsfootspar.settings import NodeSettings, ReplicaSettings
 from coltsfootspar.timers import create_timer_service
 from coltsfootspar.web.hypercorn import create_hypercorn_server
 from coltsfootspar.wire import Identity
@@ -28,7 +28,7 @@
 _DRAIN_SECONDS = 5.0
 
 
-async def format_data_folder(settings: ReplicaSettings) -> int:
+async def format_data_folder(settings: ReplicaSettings | NodeSettings) -> int:
     """Makes the empty data folder that of an initial replica of a new cluster.
 
     :raises StorageError: when the folder is not empty.
--- a/src/coltsfootspar/telemetry/logs.py
+++ b/src/coltsfootspar/telemetry/logs.py
@@ -4,7 +4,7 @@
 import logging as standard_logging
 import sys
 
-from absl import logging
+from absl import flags, logging
 
 __all__ = ["JsonFormatter", "set_up_logs"]
 
@@ -46,6 +46,9 @@
     :param process: id of the node or replica.
     :param level: ``debug``, ``info``, ``warning`` or ``error``.
     """
+    # absl holds its log back until its own flags are parsed; the programs take
+    # their arguments through defopt.
+    flags.FLAGS.mark_as_parsed()
     handler = logging.get_absl_handler()
     handler.setFormatter(JsonFormatter(process))
     handler.python_handler.stream = sys.stderr
