Keep live members under loss and split racks out of the tombstones

With 20% loss two of 42 live members were declared dead in 120 s, since news of a refutation missed single nodes, and the smaller part of a split data centre declared the larger one dead.

A suspect is probed again by those who still suspect it in the second half of the timeout, and answers with its present incarnation. A failed probe is sent twice. A node whose own probes mostly fail, or that suspects half of its data centre, takes members out of use without declaring them dead.

--- a/src/coltsfootspar/membership/gossip.py
+++ b/src/coltsfootspar/membership/gossip.py
@@ -9,7 +9,6 @@
 from coltsfootspar.membership.relays import RELAYS
 from coltsfootspar.membership.transport import Transport
 from coltsfootspar.membership.view import View
-from coltsfootspar.timers import TimerService
 from coltsfootspar.wire import Address
 from coltsfootspar.wire.membership import MemberRecord, select_fitting
 
@@ -22,7 +21,6 @@
 
     _view: View
     _transport: Transport
-    _timers: TimerService
 
     async def run_local(self) -> None:
         """Spreads news among the members of the own data centre."""
@@ -42,7 +40,9 @@
     async def run_remote(self) -> None:
         """Spreads news of the own data centre to others while it is a relay."""
         view = self._view
-        async for _ in self._timers.subscribe(view.limits.gossip_period):
+        while True:
+            await view.wait_remote_filled()
+            await trio.sleep(view.limits.gossip_period)
             for data_centre, outbox in view.remote_outboxes.items():
                 if outbox:
                     await self._send_remote(data_centre, outbox)
--- a/src/coltsfootspar/membership/probing.py
+++ b/src/coltsfootspar/membership/probing.py
@@ -16,6 +16,9 @@
 
 _JITTER = 0.1
 _MAX_SEQUENCE = 0xFFFFFFFF
+_NO_SEQUENCE = 0
+# Suspects that are probed at once; many at once are a lost rack.
+_MAX_CHECKS = 8
 
 
 @attrs.define(eq=False)
@@ -65,6 +68,16 @@
         if packet.target in ("", self._view.roster.own_id):
             await self._acknowledge(packet, address, self._view.roster.own_id)
 
+    async def check_suspects(self, suspects: list[Member]) -> None:
+        """Lets suspects refute in case the news of that has been lost.
+
+        :param suspects: members whose suspicion ends soon.
+        """
+        count = min(_MAX_CHECKS, len(suspects))
+        for member in self._transport.random.sample(suspects, count):
+            # The answer is of no use: only a later incarnation ends a suspicion.
+            await self._send(member, _NO_SEQUENCE)
+
     async def answer_indirect(self, packet: Packet, address: Address) -> None:
         """Probes a member for another one and passes on the answer."""
         member = self._view.roster.get(packet.target)
@@ -81,20 +94,24 @@
             pending.answered.set()
 
     async def _probe(self, member: Member) -> None:
+        is_answered = await self._is_alive(member)
+        self._view.record_probe(is_answered=is_answered)
+        if not is_answered and not self._view.is_isolated:
+            self._view.suspect(member)
+
+    async def _is_alive(self, member: Member) -> bool:
         limits = self._view.limits
         sequence = self._open(member.node_id)
         try:
             await self._send(member, sequence)
             if await self._wait(sequence, limits.probe_timeout):
-                return
+                return True
+            await self._send(member, sequence)
             await self._ask_others(member, sequence)
             rest = limits.probe_deadline - limits.probe_timeout
-            if await self._wait(sequence, rest):
-                return
+            return await self._wait(sequence, rest)
         finally:
             del self._pending[sequence]
-        if not self._view.is_isolated:
-            self._view.suspect(member)
 
     async def _ask_others(self, member: Member, sequence: int) -> None:
         helpers = [
@@ -153,6 +170,7 @@
             FrameKind.PROBE_ACK,
             address,
             packet.sender,
+            packet,
             sequence=packet.sequence,
             target=target,
         )
--- a/src/coltsfootspar/membership/service.py
+++ b/src/coltsfootspar/membership/service.py
@@ -182,7 +182,7 @@
 
     async def _judge(self) -> None:
         async for _ in self._timers.subscribe(_JUDGE_PERIOD):
-            self._view.judge()
+            await self._prober.check_suspects(self._view.judge())
 
     async def _receive(self) -> None:
         while True:
@@ -278,7 +278,7 @@
     budget = RateBudget(limits.rate, limits.burst)
     transport = Transport(view, port, shared_key, budget, source)
     prober = Prober(view, transport, timers)
-    synchronizer = Synchronizer(view, transport, timers, tuple(seeds))
+    synchronizer = Synchronizer(view, transport, tuple(seeds))
     bridge = Bridge(view, transport, prober, synchronizer, timers)
-    gossiper = Gossiper(view, transport, timers)
+    gossiper = Gossiper(view, transport)
     return Membership(view, transport, prober, gossiper, synchronizer, bridge, timers)
--- a/src/coltsfootspar/membership/settings.py
+++ b/src/coltsfootspar/membership/settings.py
@@ -28,6 +28,7 @@
     :param relay_transmissions: transmissions of one news by each relay to each
         other data centre.
     :param sync_period: time between two digests to a random member.
+    :param busy_period: the same after a digest that differed.
     :param join_period: time between two digests while joining.
     :param rate: budget of the node, bytes a second, headers included.
     :param burst: bytes of the budget that may be sent at once.
@@ -46,6 +47,7 @@
     gossip_fanout: int = 4
     relay_transmissions: int = 3
     sync_period: float = 5.0
+    busy_period: float = 1.0
     join_period: float = 0.5
     rate: float = 20_000.0
     burst: float = 6_000.0
--- a/src/coltsfootspar/membership/syncing.py
+++ b/src/coltsfootspar/membership/syncing.py
@@ -6,7 +6,6 @@
 from coltsfootspar.membership.members import Member
 from coltsfootspar.membership.transport import Transport
 from coltsfootspar.membership.view import View
-from coltsfootspar.timers import TimerService
 from coltsfootspar.wire import Address
 from coltsfootspar.wire.membership import MemberRecord, Packet, select_fitting
 
@@ -35,18 +34,20 @@
 
     _view: View
     _transport: Transport
-    _timers: TimerService
     _seeds: tuple[Address, ...]
     _jobs: list[_Job] = attrs.field(factory=list)
+    _differs: bool = False
     _queued: trio.Event = attrs.field(factory=trio.Event)
 
     async def run(self) -> None:
         """Joins through the seeds, then compares lists periodically."""
         await self._join()
         limits = self._view.limits
-        async for _ in self._timers.subscribe(limits.sync_period, _JITTER):
-            for address in self._select_addresses():
-                await self._transport.send_digest(address, wants_reply=True)
+        while True:
+            await self._pause(
+                limits.busy_period if self._differs else limits.sync_period
+            )
+            await self._ask_some()
 
     async def run_pieces(self) -> None:
         """Sends the pieces of lists that others asked for."""
@@ -66,6 +67,7 @@
         :raises FrameError: when the digest is malformed.
         """
         buckets, members = self._view.roster.list_differing(packet.digest)
+        self._differs = bool(buckets)
         if len(buckets) <= _TOLERATED_DIFFERENCES:
             self._view.is_synced = True
         if packet.wants_reply:
@@ -80,10 +82,15 @@
         if all(seed == own for seed in self._seeds):
             self._view.is_synced = True
         while not self._view.is_synced:
-            for address in self._select_addresses():
-                await self._transport.send_digest(address, wants_reply=True)
-            period = self._view.limits.join_period
-            await trio.sleep(period * (1 + _JITTER * self._transport.random.random()))
+            await self._ask_some()
+            await self._pause(self._view.limits.join_period)
+
+    async def _ask_some(self) -> None:
+        for address in self._select_addresses():
+            await self._transport.send_digest(address, wants_reply=True)
+
+    async def _pause(self, period: float) -> None:
+        await trio.sleep(period * (1 + _JITTER * self._transport.random.random()))
 
     def _select_addresses(self) -> list[Address]:
         """Selects a neighbour, and a seed or member that is out of contact."""
--- a/src/coltsfootspar/membership/tests/conftest.py
+++ b/src/coltsfootspar/membership/tests/conftest.py
@@ -74,11 +74,11 @@
             self.network.close_port(self.get_address(node_id))
             del self.nodes[node_id]
 
-    async def grow(self, *data_centres, size, service="wallet"):
+    async def grow(self, *data_centres, size, seeds=("a-0",), service="wallet"):
         """Starts members, waits until all know all, and returns the time it took."""
         for number in range(size):
             for data_centre in data_centres:
-                member = self.start(f"{data_centre}-{number}")
+                member = self.start(f"{data_centre}-{number}", seeds=seeds)
                 member.announce(service, 75, 0.0)
         return await self.wait_until(self.is_converged, 60)
 
@@ -113,7 +113,7 @@
 
 
 @pytest.fixture
-def open_cluster(autojump_clock):
+def open_cluster():
     @contextlib.asynccontextmanager
     async def open_cluster(seed):
         async with trio.open_nursery() as nursery:
--- a/src/coltsfootspar/membership/transport.py
+++ b/src/coltsfootspar/membership/transport.py
@@ -54,7 +54,12 @@
     counters: TransportCounters = attrs.field(factory=TransportCounters)
 
     async def send_probe(
-        self, kind: FrameKind, address: Address, node_id: str = "", **fields: object
+        self,
+        kind: FrameKind,
+        address: Address,
+        node_id: str = "",
+        reply_to: Packet | None = None,
+        **fields: object,
     ) -> None:
         """Sends a small packet that must not wait for the budget.
 
@@ -62,8 +67,11 @@
 
         :param node_id: receiver; doubts about it are sent along, so that it can
             refute them.
+        :param reply_to: packet that is answered; doubts in it are refuted.
         """
         records = self._select_doubts(node_id)
+        if reply_to is not None:
+            records += self._select_refutation(reply_to)
         bare = self._seal(kind, records, fields)
         self.budget.charge(len(bare) + _HEADER_BYTES)
         loaded = self._select_news(records)
@@ -137,6 +145,12 @@
             return []
         return [member.make_record(trio.current_time(), is_full=False)]
 
+    def _select_refutation(self, packet: Packet) -> list[MemberRecord]:
+        own = self.view.roster.own
+        if all(record.node_id != own.node_id for record in packet.records):
+            return []
+        return [own.make_record(trio.current_time())]
+
     def _select_news(self, first: list[MemberRecord]) -> list[MemberRecord]:
         view = self.view
         now = trio.current_time()
--- a/src/coltsfootspar/membership/view.py
+++ b/src/coltsfootspar/membership/view.py
@@ -1,6 +1,7 @@
 """What the own node believes of all members, and its own news."""
 
 import math
+from collections import deque
 from collections.abc import Callable, Iterable
 
 import attrs
@@ -17,6 +18,11 @@
 
 __all__ = ["MemberCallback", "View"]
 
+# Results of the own probes that show whether the own node is in the smaller part
+# of a split data centre.
+_PROBE_RESULTS = 8
+_SPLIT_FACTOR = 3
+
 MemberCallback = Callable[[Member], None]
 
 
@@ -39,8 +45,12 @@
     last_answer: float = attrs.field(factory=trio.current_time)
     deaths: int = 0
     refutations: int = 0
+    _remote_filled: trio.Event = attrs.field(factory=trio.Event)
     _callbacks: list[MemberCallback] = attrs.field(factory=list)
     _silent: frozenset[str] = frozenset()
+    _probe_results: deque[bool] = attrs.field(
+        factory=lambda: deque(maxlen=_PROBE_RESULTS)
+    )
     _held: set[str] = attrs.field(factory=set)
     _ranked: dict[str, tuple[int, list[Member]]] = attrs.field(factory=dict)
 
@@ -123,12 +133,20 @@
         status = MemberStatus.SUSPECT
         self._accept(attrs.evolve(known, status=status, status_since=now))
 
-    def judge(self) -> None:
-        """Ends suspicions that were not refuted and marks silent data centres."""
+    def record_probe(self, *, is_answered: bool) -> None:
+        """Records the result of a probe in the own data centre."""
+        self._probe_results.append(is_answered)
+
+    def judge(self) -> list[Member]:
+        """Ends suspicions that were not refuted and marks silent data centres.
+
+        :returns: suspects for whom more than half of the timeout has passed.
+        """
         now = trio.current_time()
-        self._judge_suspects(now)
+        overdue = self._judge_suspects(now)
         self._mark_data_centres(now)
         self.roster.expire(now)
+        return overdue
 
     def _accept(self, member: Member, *, is_news: bool = True) -> None:
         self.roster.put(member)
@@ -149,6 +167,13 @@
             for data_centre in self.list_other_data_centres():
                 box = self.remote_outboxes.setdefault(data_centre, Outbox())
                 box.add(member.node_id)
+                self._remote_filled.set()
+
+    async def wait_remote_filled(self) -> None:
+        """Waits until there is news for another data centre."""
+        while not any(self.remote_outboxes.values()):
+            self._remote_filled = trio.Event()
+            await self._remote_filled.wait()
 
     def _notify(self, member: Member) -> None:
         marked = self._mark(member)
@@ -174,14 +199,21 @@
         own = attrs.evolve(own, incarnation=record.incarnation + 1)
         self._accept(own)
 
-    def _judge_suspects(self, now: float) -> None:
+    def _judge_suspects(self, now: float) -> list[Member]:
         neighbours = self.roster.list_neighbours()
         scale = max(1.0, math.log10(len(neighbours) + 1))
-        timeout = self.limits.suspicion * scale
         suspects = [m for m in neighbours if m.status is MemberStatus.SUSPECT]
-        can_declare = self._can_declare(len(neighbours) + 1, len(suspects))
+        share = len(suspects) / (len(neighbours) + 1)
+        # Where many are suspected, it takes longer to see on which side of a
+        # split the larger part is.
+        timeout = self.limits.suspicion * scale * (1 + _SPLIT_FACTOR * share)
+        can_declare = self._can_declare(share)
+        overdue = []
         for member in suspects:
-            if now - member.status_since < timeout:
+            age = now - member.status_since
+            if age > timeout / 2:
+                overdue.append(member)
+            if age < timeout:
                 continue
             if can_declare:
                 self._declare_dead(member, now)
@@ -189,15 +221,18 @@
                 self._held.add(member.node_id)
                 self.roster.revision += 1
                 self._notify(member)
+        return overdue
 
-    def _can_declare(self, members: int, suspects: int) -> bool:
+    def _can_declare(self, share: float) -> bool:
         """Tells whether the own part of the data centre is the larger one.
 
         The smaller part of a data centre that is split, such as one rack, takes
         the others out of use without declaring them dead. After the repair they
         do not have to refute that.
         """
-        return not self.is_isolated and 2 * (members - suspects) > members
+        failed = self._probe_results.count(False)
+        is_failing = failed >= 3 and 2 * failed > len(self._probe_results)
+        return not (self.is_isolated or is_failing) and share < 1 / 2
 
     def _declare_dead(self, member: Member, now: float) -> None:
         logging.info("member %s is declared dead", member.node_id)
--- a/src/coltsfootspar/wire/membership.py
+++ b/src/coltsfootspar/wire/membership.py
@@ -1,6 +1,7 @@
 """Datagrams of the membership protocol."""
 
 import enum
+import functools
 from collections.abc import Iterable
 
 import attrs
@@ -45,6 +46,8 @@
 _SHORT_RECORD_BYTES = 36
 _FULL_RECORD_BYTES = 72
 _MAX_UINT32 = (1 << 32) - 1
+# Members are few and their addresses are decoded again and again.
+_parse_address = functools.lru_cache(maxsize=8192)(parse_address)
 _schema = load_schema("membership")
 
 
@@ -226,7 +229,7 @@
         sender=message.sender,
         sequence=message.sequence,
         target=message.target,
-        target_address=parse_address(address) if address else None,
+        target_address=_parse_address(address) if address else None,
         table_version=message.tableVersion,
         contacts=tuple(
             Contact(contact.dataCentre, contact.ageMilliseconds / 1e3)
@@ -253,8 +256,8 @@
         is_full=True,
         region=record.region,
         data_centre=record.dataCentre,
-        gossip_address=parse_address(record.gossipAddress),
-        peer_address=parse_address(record.peerAddress),
+        gossip_address=_parse_address(record.gossipAddress),
+        peer_address=_parse_address(record.peerAddress),
         service=record.service,
         slots=record.slots,
         warm_in=record.warmMilliseconds / 1e3,
