--- a/src/coltsfootspar/exceptions.py
+++ b/src/coltsfootspar/exceptions.py
@@ -24,6 +24,9 @@
     "AttemptsExhaustedError",
     "DeadlineError",
     "MembershipError",
+    "ClientError",
+    "ServerError",
+    "UnreachableError",
     "StorageError",
     "CorruptLogError",
     "ReplicationError",
@@ -204,6 +207,38 @@
     code = "membership"
 
 
+class ClientError(ColtsfootsparError):
+    """Base class of the errors of the operators' client."""
+
+    code = "client"
+
+
+class ServerError(ClientError):
+    """The admin interface answered with an error.
+
+    :param status: HTTP status.
+    """
+
+    code = "server"
+
+    def __init__(self, message: str, *, status: int, code: str | None = None):
+        super().__init__(message, code=code)
+        self.status = status
+
+
+class UnreachableError(ClientError):
+    """The admin interface cannot be reached or its replies are lost.
+
+    :param may_have_run: true when a request may have reached it.
+    """
+
+    code = "not-reachable"
+
+    def __init__(self, message: str, *, may_have_run: bool):
+        super().__init__(message)
+        self.may_have_run = may_have_run
+
+
 class StorageError(ColtsfootsparError):
     """The data folder cannot be read or written."""
 
--- /dev/null
+++ b/src/coltsfootspar/membership/tests/test_rates.py
@@ -0,0 +1,97 @@
+"""The traffic of a node must keep to its budget and not grow with the others."""
+
+import statistics
+
+import pytest
+import trio
+
+from coltsfootspar.membership.relays import RELAYS, rank_relays
+from coltsfootspar.testing import LinkState
+
+DATA_CENTRES = ("a", "b", "c", "d")
+LINK = LinkState(delay=0.004, jitter=0.004)
+RATE_BOUND = 29_000
+TARGET_NODES = 920
+
+
+async def measure_steady_rates(cluster, seconds):
+    """Returns bytes per second of each member, headers included."""
+    before = {n: m.counters.sent_bytes for n, m in cluster.nodes.items()}
+    await trio.sleep(seconds)
+    return {
+        node_id: (member.counters.sent_bytes - before[node_id]) / seconds
+        for node_id, member in cluster.nodes.items()
+    }
+
+
+def find_relays(cluster):
+    members = cluster.nodes["a-0"].list_members()
+    return {
+        relay.node_id
+        for name in DATA_CENTRES
+        for relay in rank_relays(m for m in members if m.data_centre == name)[:RELAYS]
+    }
+
+
+def fit_slope(points):
+    mean_x = sum(x for x, _ in points) / len(points)
+    mean_y = sum(y for _, y in points) / len(points)
+    covariance = sum((x - mean_x) * (y - mean_y) for x, y in points)
+    return covariance / sum((x - mean_x) ** 2 for x, _ in points)
+
+
+async def test_steady_rate_does_not_grow_with_members(open_cluster, autojump_clock):
+    relays, others = [], []
+    for size in (16, 32, 64, 128):
+        async with open_cluster(seed=31) as cluster:
+            cluster.network.default = LINK
+            await cluster.grow(*DATA_CENTRES, size=size // 4)
+            await trio.sleep(10)
+            rates = await measure_steady_rates(cluster, 40)
+            relay_ids = find_relays(cluster)
+        assert max(rates.values()) < RATE_BOUND
+        groups = {True: [], False: []}
+        for node_id, rate in rates.items():
+            groups[node_id in relay_ids].append(rate)
+        relays.append((size, statistics.mean(groups[True])))
+        others.append((size, statistics.mean(groups[False])))
+        print(size, "members, largest B/s:", max(rates.values()))
+    for role, points in (("relays", relays), ("others", others)):
+        slope = fit_slope(points)
+        print(role, "mean B/s by members:", points, "slope:", slope)
+        size, rate = points[-1]
+        assert rate + max(0, slope) * (TARGET_NODES - size) < RATE_BOUND
+        # Ten per cent leave room for the random choice of partners.
+        assert rate <= points[0][1] * 1.1
+
+
+@pytest.mark.parametrize("is_planned", [True, False])
+async def test_restart_of_69_members_keeps_to_the_budget(
+    open_cluster, autojump_clock, is_planned
+):
+    async with open_cluster(seed=32) as cluster:
+        cluster.network.default = LINK
+        await cluster.grow(*DATA_CENTRES, size=32)
+        restarted = sorted(cluster.nodes)[10:79]
+        if is_planned:
+            for node_id in restarted:
+                cluster.nodes[node_id].leave()
+            await trio.sleep(2)
+        cluster.crash(*restarted)
+        for node_id in restarted:
+            seeds = ("a-0", "d-31")
+            cluster.start(node_id, 1_000, seeds).announce("wallet", 75, 0.0)
+        counts = {n: m.counters.sent_bytes for n, m in cluster.nodes.items()}
+        largest = 0
+        for _ in range(30):
+            await trio.sleep(1)
+            for node_id, member in cluster.nodes.items():
+                sent = member.counters.sent_bytes
+                largest = max(largest, sent - counts[node_id])
+                counts[node_id] = sent
+        print("largest bytes in one second:", largest)
+        assert largest < RATE_BOUND
+        assert cluster.is_converged()
+        for member in cluster.nodes.values():
+            candidates = member.list_candidates("wallet")
+            assert not any(candidate.is_leaving for candidate in candidates)
--- a/src/coltsfootspar/membership/view.py
+++ b/src/coltsfootspar/membership/view.py
@@ -51,6 +51,7 @@
     _probe_results: deque[bool] = attrs.field(
         factory=lambda: deque(maxlen=_PROBE_RESULTS)
     )
+    _listed: tuple[int, tuple[Member, ...]] | None = None
     _held: set[str] = attrs.field(factory=set)
     _ranked: dict[str, tuple[int, list[Member]]] = attrs.field(factory=dict)
 
@@ -59,8 +60,14 @@
         self._callbacks.append(callback)
 
     def list_members(self) -> tuple[Member, ...]:
-        """Lists all members, marked when they cannot be reached."""
-        return tuple(self._mark(member) for member in self.roster)
+        """Lists all members, marked when they cannot be reached.
+
+        The list is computed once for each revision, since it is read with calls.
+        """
+        if self._listed is None or self._listed[0] != self.roster.revision:
+            members = tuple(self._mark(member) for member in self.roster)
+            self._listed = (self.roster.revision, members)
+        return self._listed[1]
 
     def _mark(self, member: Member) -> Member:
         is_reachable = (
