Follow demand per rank in the overload threshold

The threshold rose to a fixed value and stayed until the queue was empty, so that slots idled while it fell. It now follows the demand at each rank, including the last known demand below the threshold, corrected by the queue delay. Waiting calls below it are refused until the delay is on target. The usual service time is taken later: the first calls that end are the shortest ones, which made normal latency look like congestion.

--- a/src/coltsfootspar/admission/controller.py
+++ b/src/coltsfootspar/admission/controller.py
@@ -256,7 +256,17 @@
         self._long.room = self._long_room.typical
         self._dispatch(now)
         for lane in (self._short, self._long):
-            lane.threshold.update(now, lane.compute_delay(), lane.room)
+            if lane.threshold.update(now, lane.compute_delay(), lane.room):
+                self._shorten(lane)
+
+    def _shorten(self, lane: Lane) -> None:
+        """Refuses waiting calls below the threshold until the delay is on target."""
+        target = lane.threshold.compute_target()
+        while lane.compute_delay() > target:
+            lowest = lane.queue.find_lowest()
+            if lowest.rank >= lane.threshold.value:
+                return
+            self._refuse(lowest, "overload", f"{self.service} is overloaded")
 
     def _dispatch(self, now: float) -> None:
         while self.in_use < self._limit:
--- a/src/coltsfootspar/admission/rows.py
+++ b/src/coltsfootspar/admission/rows.py
@@ -16,7 +16,11 @@
 
 _USUAL_STEP_DOWN = 0.05
 _USUAL_STEP_UP = 0.01
-_USUAL_MIN_SAMPLES = 16
+
+# The first calls that end are the shortest ones, so the usual time is taken only
+# after this many samples and this many service times.
+_USUAL_MIN_SAMPLES = 32
+_USUAL_MIN_SERVICE_TIMES = 10
 
 _DEMAND_SECONDS = 1.0
 _CALLS_SECONDS = 30.0
@@ -57,6 +61,7 @@
     is_long: bool = True
     demand: list[float] = attrs.field(factory=lambda: [0.0] * IMPORTANCE_VALUES)
     _sampled_at: float = -math.inf
+    _first_sample_at: float = math.inf
 
     def add_call(self, importance: int) -> None:
         """Counts a call that was accepted."""
@@ -75,9 +80,13 @@
         self.mean += step * (seconds - self.mean)
         self.own += step * (own_seconds - self.own)
         self._sampled_at = now
+        if self.samples == 0:
+            self._first_sample_at = now
         self.samples += 1
-        if self.samples == _USUAL_MIN_SAMPLES:
-            self.usual = self.own
+        if self.usual == 0 and self.samples >= _USUAL_MIN_SAMPLES:
+            elapsed = now - self._first_sample_at
+            if elapsed >= _USUAL_MIN_SERVICE_TIMES * self.mean:
+                self.usual = self.own
 
     def learn_usual(self) -> None:
         """Moves the usual time towards the present one."""
--- a/src/coltsfootspar/admission/thresholds.py
+++ b/src/coltsfootspar/admission/thresholds.py
@@ -1,6 +1,7 @@
 """The lowest rank that is admitted while there is more work than capacity."""
 
 import math
+from collections import deque
 
 import attrs
 
@@ -9,40 +10,55 @@
 __all__ = ["OverloadThreshold"]
 
 _WINDOW_SECONDS = 0.05
-_WINDOW_DECAY = 0.5
 _MAX_WINDOWS = 20
+
+# Demand fades by the first factor for each window, or more slowly while fewer
+# than _MIN_CALLS calls are remembered.
+_WINDOW_DECAY = 0.5
+_SLOW_WINDOW_DECAY = 0.92
+_MIN_CALLS = 32
 _MIN_DEMAND = 1e-6
 
-# Part of the capacity that admitted work may ask for while a queue stands.
-_ADMITTED_SHARE = 0.97
+# Demand below the threshold is refused by the senders and cannot be observed.
+# Its last value fades with this time.
+_HIDDEN_SECONDS = 1.0
+
+# Windows until senders have taken notice of a lower threshold.
+_NOTICE_WINDOWS = 3
 
 _MIN_TARGET_SECONDS = 0.01
 _MAX_TARGET_SECONDS = 0.5
-_QUIET_SHARE = 0.5
+_IDLE_SHARE = 0.1
+
+# Admitted demand is corrected by the queue delay that is missing to the target,
+# over this time.
+_CORRECTION_SECONDS = 0.25
+_MIN_SHARE = 0.8
+_MAX_SHARE = 1.05
 
 _FIRST_FALL = 16
-_STUBBORN_FACTOR = 4.0
 
 
 @attrs.define(eq=False)
 class OverloadThreshold:
     """Follows the queue delay and the demand at each rank.
 
-    While the smallest delay of a window is over the target, the threshold is
-    set to the rank above which the demand of the last windows fits the
-    capacity. While the delay is below half of the target, the threshold falls
-    by steps that double.
+    When the smallest delay of a window is over the target, the threshold is set
+    to the rank above which demand fits the capacity, and follows demand from
+    then on. While there is no queue, the threshold falls by steps that double.
 
     :param value: lowest admitted rank; 0 admits all.
     """
 
     value: int = 0
     _demand: dict[int, float] = attrs.field(factory=dict)
+    _hidden: dict[int, float] = attrs.field(factory=dict)
     _calls: float = 0.0
     _weight: float = 0.0
     _window_start: float = -math.inf
     _lowest_delay: float = math.inf
     _fall: int = _FIRST_FALL
+    _history: deque[int] = attrs.field(factory=lambda: deque(maxlen=_NOTICE_WINDOWS))
 
     def record_arrival(self, rank: int, work: float) -> None:
         """Counts a call, admitted or not.
@@ -57,10 +73,6 @@
         if seconds < self._lowest_delay:
             self._lowest_delay = seconds
 
-    def is_due(self, now: float) -> bool:
-        """Tells whether the window has ended."""
-        return now - self._window_start >= _WINDOW_SECONDS
-
     def compute_target(self) -> float:
         """Computes the queue delay up to which nothing is refused.
 
@@ -69,48 +81,78 @@
         mean = sum(self._demand.values()) / self._calls if self._calls > 0 else 0.0
         return min(_MAX_TARGET_SECONDS, max(_MIN_TARGET_SECONDS, mean))
 
-    def update(self, now: float, delay: float, slots: float) -> None:
+    def update(self, now: float, delay: float, slots: float) -> bool:
         """Ends a window.
 
         :param delay: time that the waiting work needs at present, seconds.
         :param slots: slots for this kind of work.
+        :returns: true when the delay stayed over the target.
         """
         elapsed = now - self._window_start
         self._window_start = now
-        if not math.isfinite(elapsed):
-            self._lowest_delay = delay
-            return
         lowest = min(self._lowest_delay, delay)
-        target = self.compute_target()
+        self._lowest_delay = delay
+        if not math.isfinite(elapsed):
+            return False
         self._weight += elapsed
-        if lowest > target:
-            self._fall = _FIRST_FALL
-            self._rise(slots, is_stubborn=lowest > _STUBBORN_FACTOR * target)
-        elif self.value > 0 and lowest < _QUIET_SHARE * target:
-            # Windows without any call count too.
-            windows = int(elapsed / _WINDOW_SECONDS)
-            for _ in range(min(_MAX_WINDOWS, max(1, windows))):
-                self._lower()
+        target = self.compute_target()
+        is_over = lowest > target
+        if is_over or self.value > 0:
+            self._adjust(lowest, target, slots, elapsed)
+        self._history.append(self.value)
         self._age(elapsed)
-        self._lowest_delay = delay
+        return is_over
+
+    def _adjust(
+        self, lowest: float, target: float, slots: float, elapsed: float
+    ) -> None:
+        correction = (target - lowest) / _CORRECTION_SECONDS
+        share = min(_MAX_SHARE, max(_MIN_SHARE, 1 + correction))
+        fitting = self._find_fitting_rank(share * slots)
+        if lowest >= _IDLE_SHARE * target:
+            self._fall = _FIRST_FALL
+            self.value = fitting
+            return
+        # Windows without any call count too.
+        for _ in range(min(_MAX_WINDOWS, max(1, int(elapsed / _WINDOW_SECONDS)))):
+            self.value = max(0, self.value - self._fall)
+            self._fall = min(2 * self._fall, HIGHEST_RANK)
+        self.value = min(self.value, fitting)
 
-    def _rise(self, slots: float, *, is_stubborn: bool) -> None:
-        room = _ADMITTED_SHARE * slots * self._weight
-        for rank in sorted(self._demand, reverse=True):
-            room -= self._demand[rank]
-            if room < 0:
-                self.value = max(self.value, min(rank, HIGHEST_RANK))
-                return
-        if is_stubborn:
-            # The demand is underestimated: calls take longer than expected.
-            self.value = min(HIGHEST_RANK, self.value + _FIRST_FALL)
+    def _find_fitting_rank(self, room: float) -> int:
+        """Finds the lowest rank down to which demand fits.
 
-    def _lower(self) -> None:
-        self.value = max(0, self.value - self._fall)
-        self._fall = min(2 * self._fall, HIGHEST_RANK)
+        :param room: slots for the demand.
+        """
+        noticed = max(self._history, default=0)
+        rates = {
+            rank: work / self._weight
+            for rank, work in self._demand.items()
+            if rank >= noticed
+        }
+        for rank, hidden in self._hidden.items():
+            if rank < noticed:
+                observed = self._demand.get(rank, 0.0) / self._weight
+                rates[rank] = max(observed, hidden)
+        for rank in sorted(rates, reverse=True):
+            room -= rates[rank]
+            if room < 0:
+                return min(rank, HIGHEST_RANK)
+        return 0
 
     def _age(self, elapsed: float) -> None:
-        factor = _WINDOW_DECAY ** (elapsed / _WINDOW_SECONDS)
+        noticed = max(self._history)
+        fading = math.exp(-elapsed / _HIDDEN_SECONDS)
+        hidden = {
+            rank: rate * fading
+            for rank, rate in self._hidden.items()
+            if rank < noticed and rate > _MIN_DEMAND
+        }
+        for rank, work in self._demand.items():
+            if rank >= noticed:
+                hidden[rank] = work / self._weight
+        self._hidden = hidden
+        factor = self._compute_decay(elapsed)
         self._weight *= factor
         self._calls *= factor
         self._demand = {
@@ -118,3 +160,9 @@
             for rank, work in self._demand.items()
             if work * factor > _MIN_DEMAND
         }
+
+    def _compute_decay(self, elapsed: float) -> float:
+        windows = elapsed / _WINDOW_SECONDS
+        kept = _MIN_CALLS / self._calls if self._calls > 0 else 1.0
+        slow = _SLOW_WINDOW_DECAY**windows
+        return max(_WINDOW_DECAY**windows, min(slow, kept))
