--- a/src/coltsfootspar/replication/client.py
+++ b/src/coltsfootspar/replication/client.py
@@ -2,7 +2,8 @@
 
 import random
 import uuid
-from collections.abc import AsyncIterator, Sequence
+from collections.abc import AsyncIterator, Callable, Sequence
+from typing import TypeVar
 
 import attrs
 import trio
@@ -26,6 +27,7 @@
 )
 from coltsfootspar.replication.interfaces import ReplicaLink
 from coltsfootspar.replication.messages import (
+    HistoryReply,
     ProposeReply,
     ProposeStatus,
     ReplicaStatus,
@@ -50,6 +52,7 @@
 _MIN_PAUSE = 0.05
 _MAX_PAUSE = 0.25
 _MS = 1_000
+_T = TypeVar("_T", TableReply, HistoryReply)
 
 
 @attrs.define(eq=False)
@@ -64,6 +67,7 @@
     _random: random.Random
     _timeout: float
     _leader_id: str | None = None
+    _seen_version: int = 0
 
     async def edit_cells(
         self,
@@ -84,7 +88,9 @@
         """
         change_id = change_id or create_id(self._random)
         command = EditCells(change_id, operator, check_edits(tuple(edits)))
-        return await self._propose(command, timeout)
+        result = await self._propose(command, timeout)
+        self._seen_version = max(self._seen_version, result.version)
+        return result
 
     async def claim(self, command: Claim, timeout: float | None = None) -> ClaimResult:
         """Asks for the right to execute a request.
@@ -126,29 +132,16 @@
         return codec.decode_look_up_reply(reply)
 
     async def read_table(self, timeout: float | None = None) -> Table:
-        """Reads the table from the first replica that answers.
+        """Reads the table.
 
-        A replica that is in contact with the leader is preferred.
+        The version is never lower than one that this client has seen. A replica
+        that is in contact with the leader is preferred.
 
-        :raises NoQuorumError: when no replica answered.
+        :raises NoQuorumError: when no replica with that version answered.
         """
-        best: TableReply | None = None
         message = Message(FrameKind.READ_TABLE)
-        with trio.move_on_after(self._get_timeout(timeout)):
-            while best is None:
-                for replica_id in self._replica_ids:
-                    reply = await self._try_read_table(replica_id, message)
-                    if reply is None:
-                        continue
-                    if best is None or reply.version > best.version:
-                        best = reply
-                    if reply.is_current:
-                        return codec.decode_table(reply.table_data)
-                if best is None:
-                    await self._pause()
-        if best is None:
-            raise NoQuorumError("no replica answered", may_have_run=False)
-        return codec.decode_table(best.table_data)
+        reply = await self._read_best(message, codec.decode_table_reply, timeout)
+        return codec.decode_table(reply.table_data)
 
     async def watch_table(self, after_version: int = -1) -> AsyncIterator[Table]:
         """Yields each newer table, starting with the present one.
@@ -160,35 +153,41 @@
         """
         position = 0
         while True:
-            replica_id = self._replica_ids[position % len(self._replica_ids)]
-            message = codec.encode_table_request(
-                max(after_version, 0), int(_WATCH_SECONDS * _MS)
-            )
-            if after_version < 0:
-                message = Message(FrameKind.READ_TABLE)
-            reply = await self._try_read_table(replica_id, message)
+            replica_id = self._pick(position)
+            reply = await self._watch(replica_id, after_version)
             if reply is not None and reply.table_data and reply.version > after_version:
                 after_version = reply.version
+                self._seen_version = max(self._seen_version, after_version)
                 yield codec.decode_table(reply.table_data)
             if reply is None or not reply.is_current:
                 position += 1
                 await self._pause()
-            elif position % len(self._replica_ids) and not reply.table_data:
+            elif not reply.table_data:
                 # Back to the preferred replica; if it is still cut off, the next
                 # round is here again.
                 position = 0
 
+    async def _watch(self, replica_id: str, after_version: int) -> TableReply | None:
+        decode = codec.decode_table_reply
+        if after_version < 0:
+            message = Message(FrameKind.READ_TABLE)
+            return await self._try_read(replica_id, message, decode)
+        message = codec.encode_table_request(after_version, int(_WATCH_SECONDS * _MS))
+        seconds = _WATCH_SECONDS + _WATCH_MARGIN
+        return await self._try_read(replica_id, message, decode, seconds)
+
     async def history(
         self, limit: int = 100, before_version: int = 0, timeout: float | None = None
     ) -> tuple[Change, ...]:
         """Reads the last changes, the latest first.
 
         :param before_version: only older changes; 0 for the latest.
-        :raises NoQuorumError: when no replica answered.
+        :raises NoQuorumError: when no replica with a table version that this
+            client has seen answered.
         """
         message = codec.encode_history_request(limit, before_version)
-        reply = await self._read(message, timeout, _REQUEST_SECONDS)
-        return codec.decode_history(reply)
+        reply = await self._read_best(message, codec.decode_history, timeout)
+        return reply.changes
 
     async def status(self) -> dict[str, ReplicaStatus | None]:
         """Asks all replicas for their state; None for those without answer."""
@@ -224,15 +223,40 @@
             return await self._link.request(replica_id, message)
         raise LinkError(f"{replica_id} did not answer", may_have_run=True)
 
-    async def _try_read_table(
-        self, replica_id: str, message: Message
-    ) -> TableReply | None:
+    async def _read_best(
+        self, message: Message, decode: Callable[[Message], _T], timeout: float | None
+    ) -> _T:
+        """Reads from all replicas until one is in contact with the leader.
+
+        :param decode: decodes a reply with a version.
+        """
+        best = None
+        with trio.move_on_after(self._get_timeout(timeout)):
+            while best is None:
+                for replica_id in self._replica_ids:
+                    reply = await self._try_read(replica_id, message, decode)
+                    if reply is None or reply.version < self._seen_version:
+                        continue
+                    if best is None or reply.version > best.version:
+                        best = reply
+                    if reply.is_current:
+                        break
+                if best is None:
+                    await self._pause()
+        if best is None:
+            raise NoQuorumError("no replica answered", may_have_run=False)
+        self._seen_version = best.version
+        return best
+
+    async def _try_read(
+        self,
+        replica_id: str,
+        message: Message,
+        decode: Callable[[Message], _T],
+        seconds: float = _REQUEST_SECONDS,
+    ) -> _T | None:
         try:
-            seconds = _REQUEST_SECONDS
-            if message.kind is FrameKind.WATCH_TABLE:
-                seconds = _WATCH_SECONDS + _WATCH_MARGIN
-            reply = await self._request(replica_id, message, seconds)
-            return codec.decode_table_reply(reply)
+            return decode(await self._request(replica_id, message, seconds))
         except (LinkError, FrameError):
             return None
 
--- a/src/coltsfootspar/replication/core.py
+++ b/src/coltsfootspar/replication/core.py
@@ -140,7 +140,9 @@
     def is_current(self) -> bool:
         """False when the replica may be cut off from the leader."""
         if self.role is Role.LEADER:
-            return True
+            # Until an entry of its own term is committed, a new leader may not
+            # know which of the earlier ones are.
+            return self.state.term == self.term
         age = trio.current_time() - self.leader_contact
         return age < self.options.election_maximum
 
--- a/src/coltsfootspar/replication/election.py
+++ b/src/coltsfootspar/replication/election.py
@@ -16,6 +16,8 @@
 async def wait_election_timeout(core: ReplicaCore) -> None:
     """Waits until no leader has been heard for a random election timeout."""
     await core.admitted.wait()
+    if not core.peer_ids:
+        return
     options = core.options
     timeout = core.random.uniform(options.election_minimum, options.election_maximum)
     while True:
--- a/src/coltsfootspar/replication/messages.py
+++ b/src/coltsfootspar/replication/messages.py
@@ -4,11 +4,12 @@
 
 import attrs
 
-from coltsfootspar.replication.commands import Entry, Result
+from coltsfootspar.replication.commands import Change, Entry, Result
 
 __all__ = [
     "AppendReply",
     "AppendRequest",
+    "HistoryReply",
     "InstallReply",
     "InstallRequest",
     "ProposeReply",
@@ -137,6 +138,19 @@
     table_data: bytes = b""
 
 
+@attrs.frozen
+class HistoryReply:
+    """Answers a request for changes, the latest first.
+
+    :param version: table version of the replica.
+    :param is_current: false when the replica may be cut off from the leader.
+    """
+
+    version: int
+    is_current: bool
+    changes: tuple[Change, ...]
+
+
 @attrs.frozen
 class ReplicaStatus:
     """State of one replica.
--- a/src/coltsfootspar/replication/replica.py
+++ b/src/coltsfootspar/replication/replica.py
@@ -40,6 +40,7 @@
 from coltsfootspar.replication.leadership import create_leadership
 from coltsfootspar.replication.log import open_log
 from coltsfootspar.replication.messages import (
+    HistoryReply,
     ProposeReply,
     ProposeStatus,
     ReplicaStatus,
@@ -235,7 +236,9 @@
     async def _serve_history(self, message: Message) -> Message:
         limit, before_version = codec.decode_history_request(message)
         changes = self.list_history(min(limit, _MAX_HISTORY), before_version)
-        return codec.encode_history(changes)
+        version = self.read_table().version
+        reply = HistoryReply(version, self._core.is_current, tuple(changes))
+        return codec.encode_history(reply)
 
     async def _serve_look_up(self, message: Message) -> Message:
         key, wait_ms = codec.decode_look_up(message)
--- /dev/null
+++ b/src/coltsfootspar/replication/tests/conftest.py
@@ -0,0 +1,18 @@
+"""Option for more generated schedules than CI runs."""
+
+CI_SEEDS = 200
+
+
+def pytest_addoption(parser):
+    parser.addoption(
+        "--seeds",
+        type=int,
+        default=CI_SEEDS,
+        help="generated schedules; needs the path of these tests as an argument",
+    )
+
+
+def pytest_generate_tests(metafunc):
+    if "seed" in metafunc.fixturenames:
+        seeds = metafunc.config.getoption("--seeds", CI_SEEDS)
+        metafunc.parametrize("seed", range(seeds))
--- a/src/coltsfootspar/wire/replication.capnp
+++ b/src/coltsfootspar/wire/replication.capnp
@@ -213,6 +213,8 @@
 
 struct HistoryReply {
   changes @0 :List(Change);
+  version @1 :UInt64;
+  isCurrent @2 :Bool;
 }
 
 struct LookUpRequest {
--- a/src/coltsfootspar/wire/replication.py
+++ b/src/coltsfootspar/wire/replication.py
@@ -28,6 +28,7 @@
 from coltsfootspar.replication.messages import (
     AppendReply,
     AppendRequest,
+    HistoryReply,
     InstallReply,
     InstallRequest,
     ProposeReply,
@@ -707,19 +708,24 @@
     )
 
 
-def encode_history(changes: list[Change]) -> Message:
+def encode_history(reply: HistoryReply) -> Message:
     """Encodes changes; they are the body, which may be large."""
-    items = [_write_change(change) for change in changes]
-    body = _schema.HistoryReply.new_message(changes=items).to_bytes()
-    return Message(FrameKind.HISTORY_REPLY, body=body)
+    payload = _schema.HistoryReply.new_message(
+        changes=[_write_change(change) for change in reply.changes],
+        version=reply.version,
+        isCurrent=reply.is_current,
+    )
+    return Message(FrameKind.HISTORY_REPLY, body=payload.to_bytes())
 
 
-def decode_history(message: Message) -> tuple[Change, ...]:
+def decode_history(message: Message) -> HistoryReply:
     """Decodes changes."""
     return _decode(
         _schema.HistoryReply,
         message.body,
-        lambda r: tuple(_read_change(change) for change in r.changes),
+        lambda r: HistoryReply(
+            r.version, r.isCurrent, tuple(_read_change(c) for c in r.changes)
+        ),
     )
 
 
