--- /dev/null
+++ b/src/coltsfootspar/replication/tests/test_failures.py
@@ -0,0 +1,381 @@
+"""Losses of hosts, disks and links must cost no accepted change."""
+
+import attrs
+import pytest
+import trio
+
+from coltsfootspar.exceptions import NoQuorumError
+from coltsfootspar.replication import ChangeStatus, ReplicaOptions
+from coltsfootspar.replication.tests.harness import (
+    ROW,
+    list_contents,
+    open_cluster,
+    wait_until,
+)
+from coltsfootspar.table import CellEdit
+from coltsfootspar.testing import LinkState
+
+SMALL_SNAPSHOTS = ReplicaOptions(snapshot_entries=20, snapshot_share=0)
+
+
+def set_retries(value, version=None):
+    return [CellEdit(ROW, "retries", value, version)]
+
+
+async def make_changes(client, count):
+    results = [
+        await client.edit_cells(set_retries(value % 20), "ana")
+        for value in range(count)
+    ]
+    return [result.version for result in results]
+
+
+async def check_history(cluster, client, versions):
+    """Checks that all replicas are equal and hold these changes."""
+    await cluster.wait_equal()
+    history = {change.version for change in await client.history(limit=1000)}
+    assert set(versions) <= history
+    contents = [list_contents(r.core.state) for r in cluster.replicas.values()]
+    assert all(content == contents[0] for content in contents)
+
+
+async def test_isolated_leader_accepts_nothing_and_follows_after_its_return(
+    autojump_clock,
+):
+    async with open_cluster(options=SMALL_SNAPSHOTS) as cluster:
+        client = cluster.create_client()
+        versions = await make_changes(client, 5)
+        old = cluster.find_leader()
+        cluster.isolate(old)
+        lonely = cluster.create_client("lonely", timeout=6, order=[old])
+        with pytest.raises(NoQuorumError) as caught:
+            await lonely.edit_cells(set_retries(19), "ben", change_id="lost")
+        assert caught.value.may_have_run
+        assert cluster.replicas[old].status().role == "follower"
+        others = [name for name in cluster.replica_ids if name != old]
+        client = cluster.create_client(order=others)
+        versions += await make_changes(client, 50)
+        await trio.sleep(600)
+        term = cluster.replicas[cluster.find_leader()].status().term
+        cluster.rejoin(old)
+        await trio.sleep(10)
+        # The pre-vote keeps the returned replica from starting an election.
+        assert cluster.replicas[cluster.find_leader()].status().term == term
+        await check_history(cluster, client, versions)
+        assert all(c.change_id != "lost" for c in await client.history(1000))
+
+
+async def test_leader_that_hears_nobody_is_replaced(autojump_clock):
+    async with open_cluster() as cluster:
+        client = cluster.create_client()
+        versions = await make_changes(client, 3)
+        old = cluster.find_leader()
+        for name in cluster.replica_ids:
+            if name != old:
+                cluster.network.set_link(name, old, LinkState(is_cut=True))
+        await trio.sleep(8)
+        assert cluster.find_leader() not in (None, old)
+        versions += await make_changes(client, 3)
+        for name in cluster.replica_ids:
+            cluster.network.set_link(name, old, LinkState())
+        await trio.sleep(5)
+        await check_history(cluster, client, versions)
+
+
+async def test_one_way_cut_between_two_replicas_leaves_the_group_working(
+    autojump_clock,
+):
+    async with open_cluster() as cluster:
+        client = cluster.create_client()
+        versions = await make_changes(client, 3)
+        leader = cluster.find_leader()
+        other = next(name for name in cluster.replica_ids if name != leader)
+        cluster.network.set_link(leader, other, LinkState(is_cut=True))
+        for _ in range(10):
+            versions += await make_changes(client, 2)
+            await trio.sleep(3)
+        cluster.network.set_link(leader, other, LinkState())
+        await trio.sleep(5)
+        await check_history(cluster, client, versions)
+
+
+async def test_second_loss_right_after_the_repair_of_a_lost_disk(autojump_clock):
+    async with open_cluster() as cluster:
+        client = cluster.create_client()
+        versions = await make_changes(client, 30)
+        for _ in range(6):
+            leader = await cluster.wait_leader()
+            for lost in (name for name in cluster.replica_ids if name != leader):
+                await cluster.replace_disk(lost)
+                versions += await make_changes(client, 2)
+                core = cluster.replicas[lost].core
+                await wait_until(lambda core=core: core.identity.is_admitted, 10)
+                # The leader goes at once; the repaired replica has to know all.
+                await cluster.crash(leader)
+                versions += await make_changes(client, 2)
+                await cluster.start(leader)
+                await cluster.wait_leader()
+                leader = cluster.find_leader()
+                break
+        await check_history(cluster, client, versions)
+
+
+async def test_replica_with_a_new_disk_is_admitted_by_the_others_only(autojump_clock):
+    async with open_cluster() as cluster:
+        client = cluster.create_client(timeout=6)
+        versions = await make_changes(client, 5)
+        first, second, third = cluster.replica_ids
+        await cluster.crash(third)
+        await cluster.replace_disk(second)
+        # One of the others remains: it and the empty disk must accept nothing.
+        with pytest.raises(NoQuorumError):
+            await client.edit_cells(set_retries(1), "ana")
+        assert not cluster.replicas[second].status().is_admitted
+        assert cluster.find_leader() is None
+        await cluster.start(third)
+        versions += await make_changes(client, 5)
+        await wait_until(lambda: cluster.replicas[second].status().is_admitted, 10)
+        await cluster.crash(first)
+        versions += await make_changes(client, 5)
+        await check_history(cluster, client, versions)
+
+
+async def test_replica_without_its_disk_does_not_elect_one_that_misses_changes(
+    autojump_clock,
+):
+    async with open_cluster() as cluster:
+        client = cluster.create_client(timeout=6)
+        leader = await cluster.wait_leader()
+        behind, lost = (name for name in cluster.replica_ids if name != leader)
+        cluster.isolate(behind)
+        versions = await make_changes(client, 5)
+        await cluster.crash(leader)
+        await cluster.replace_disk(lost)
+        cluster.rejoin(behind)
+        await trio.sleep(30)
+        assert cluster.find_leader() is None
+        await cluster.start(leader)
+        versions += await make_changes(client, 5)
+        await check_history(cluster, client, versions)
+
+
+async def test_rejoin_that_is_interrupted_starts_over(autojump_clock):
+    async with open_cluster(options=SMALL_SNAPSHOTS) as cluster:
+        client = cluster.create_client()
+        versions = await make_changes(client, 50)
+        leader = cluster.find_leader()
+        lost = next(name for name in cluster.replica_ids if name != leader)
+        await cluster.replace_disk(lost)
+        for crash_at in range(1, 12):
+            disk = cluster.disks[lost]
+            disk.crash_at = disk.syncs + crash_at
+            await trio.sleep(2)
+            versions += await make_changes(client, 1)
+            await cluster.restart(lost)
+        await wait_until(lambda: cluster.replicas[lost].status().is_admitted, 10)
+        await cluster.crash(leader)
+        versions += await make_changes(client, 3)
+        await check_history(cluster, client, versions)
+
+
+async def test_old_disk_of_a_replaced_replica_is_refused(autojump_clock):
+    async with open_cluster() as cluster:
+        client = cluster.create_client()
+        versions = await make_changes(client, 3)
+        name = next(n for n in cluster.replica_ids if n != cluster.find_leader())
+        old_disk = cluster.disks[name]
+        await cluster.replace_disk(name)
+        await wait_until(lambda: cluster.replicas[name].status().is_admitted, 10)
+        await cluster.crash(name)
+        new_disk, cluster.disks[name] = cluster.disks[name], old_disk
+        await cluster.start(name)
+        await trio.sleep(5)
+        assert cluster.errors[name].code == "replaced"
+        await cluster.crash(name)
+        cluster.disks[name] = new_disk
+        await cluster.start(name)
+        await check_history(cluster, client, versions)
+
+
+async def test_restarted_replica_accepts_its_own_earlier_admissions(autojump_clock):
+    async with open_cluster() as cluster:
+        client = cluster.create_client()
+        leader = await cluster.wait_leader()
+        name = next(n for n in cluster.replica_ids if n != leader)
+        for _ in range(2):
+            await cluster.replace_disk(name)
+            await wait_until(lambda: cluster.replicas[name].status().is_admitted, 10)
+        await cluster.restart(name)
+        versions = await make_changes(client, 3)
+        await check_history(cluster, client, versions)
+        assert name not in cluster.errors
+
+
+async def test_two_failures_together_in_a_group_of_five(autojump_clock):
+    async with open_cluster(5) as cluster:
+        client = cluster.create_client()
+        versions = await make_changes(client, 5)
+        leader = cluster.find_leader()
+        others = [name for name in cluster.replica_ids if name != leader]
+        cluster.isolate(leader)
+        await cluster.replace_disk(others[0])
+        versions += await make_changes(client, 5)
+        await cluster.crash(others[1])
+        cluster.rejoin(leader)
+        versions += await make_changes(client, 5)
+        await cluster.start(others[1])
+        await trio.sleep(5)
+        await check_history(cluster, client, versions)
+
+
+async def test_replica_far_behind_gets_the_snapshot_in_parts(autojump_clock):
+    options = ReplicaOptions(snapshot_entries=400, snapshot_share=0)
+    async with open_cluster(options=options) as cluster:
+        client = cluster.create_client()
+        leader = await cluster.wait_leader()
+        behind = next(name for name in cluster.replica_ids if name != leader)
+        await cluster.crash(behind)
+        edits = [
+            CellEdit(f"specs GET /specs/{number}/{'x' * 400}", "retries", 1)
+            for number in range(600)
+        ]
+        versions = [(await client.edit_cells(edits, "ana")).version]
+        versions += await make_changes(client, 1300)
+        assert cluster.replicas[leader].core.snapshots.size > 256 << 10
+        cluster.network.default = LinkState(delay=0.005, loss=0.05, duplication=0.1)
+        await cluster.start(behind)
+        await wait_until(
+            lambda: cluster.replicas[behind].core.state.index > versions[-100], 60
+        )
+        cluster.network.default = LinkState()
+        await check_history(cluster, client, versions[-900:])
+
+
+async def test_resent_change_gets_its_first_result(autojump_clock):
+    # The reply was lost; the replicas restart or take snapshots before the resend.
+    async with open_cluster(options=SMALL_SNAPSHOTS) as cluster:
+        client = cluster.create_client(timeout=20)
+        first = await client.edit_cells(set_retries(1), "ana", change_id="one")
+        lost = await client.edit_cells(
+            set_retries(2, version=first.version + 7), "ben", change_id="two"
+        )
+        assert lost.status is ChangeStatus.CONFLICT
+        assert (lost.value, lost.version) == (1, first.version)
+        for _ in range(2):
+            await make_changes(client, 30)
+            for name in cluster.replica_ids:
+                await cluster.restart(name)
+            again = await client.edit_cells(set_retries(1), "ana", change_id="one")
+            assert again == first
+            again = await client.edit_cells(set_retries(9), "ben", change_id="two")
+            assert again == lost
+
+
+async def test_lost_replies_apply_a_change_once(autojump_clock):
+    async with open_cluster() as cluster:
+        leader = await cluster.wait_leader()
+        client = cluster.create_client(timeout=20)
+        cluster.network.set_link(leader, "client", LinkState(loss=1))
+        with trio.move_on_after(4):
+            await client.edit_cells(set_retries(1, 0), "ana", change_id="one")
+        cluster.network.set_link(leader, "client", LinkState())
+        result = await client.edit_cells(set_retries(1, 0), "ana", change_id="one")
+        assert result.status is ChangeStatus.APPLIED
+        assert [c.change_id for c in await client.history()] == ["one"]
+
+
+async def test_one_of_the_operators_with_equal_versions_wins(autojump_clock):
+    async with open_cluster() as cluster:
+        first = await cluster.create_client().edit_cells(set_retries(0), "ana")
+        results = {}
+
+        async def race(number):
+            client = cluster.create_client(f"operator-{number}")
+            results[number] = await client.edit_cells(
+                set_retries(number, first.version), f"operator-{number}"
+            )
+
+        async with trio.open_nursery() as nursery:
+            for number in range(1, 9):
+                nursery.start_soon(race, number)
+        applied = [n for n, r in results.items() if r.status is ChangeStatus.APPLIED]
+        assert len(applied) == 1
+        for number, result in results.items():
+            assert result.version == results[applied[0]].version
+            if number != applied[0]:
+                assert (result.status, result.value) == ("conflict", applied[0])
+
+
+async def test_watch_of_a_cut_off_replica_moves_on_within_ten_seconds(autojump_clock):
+    async with open_cluster() as cluster:
+        client = cluster.create_client()
+        await make_changes(client, 3)
+        stale = next(n for n in cluster.replica_ids if n != cluster.find_leader())
+        order = [stale, *(n for n in cluster.replica_ids if n != stale)]
+        reader = cluster.create_client("reader", order=order)
+        seen = []
+
+        async def watch():
+            async for table in reader.watch_table():
+                seen.append((trio.current_time(), table.version))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(watch)
+            await trio.sleep(1)
+            for number in range(4):
+                if number % 2 == 0:
+                    cluster.isolate(stale)
+                else:
+                    cluster.rejoin(stale)
+                await trio.sleep(0.5)
+                (version,) = await make_changes(client, 1)
+                start = trio.current_time()
+                await wait_until(lambda v=version: seen[-1][1] == v, 10)
+                assert seen[-1][0] - start <= 10
+                await trio.sleep(30)
+            nursery.cancel_scope.cancel()
+        versions = [version for _, version in seen]
+        assert versions == sorted(set(versions))
+
+
+async def test_reads_are_served_without_a_majority(autojump_clock):
+    async with open_cluster() as cluster:
+        client = cluster.create_client()
+        versions = await make_changes(client, 3)
+        await cluster.wait_equal()
+        await cluster.crash("r1")
+        await cluster.crash("r2")
+        await trio.sleep(5)
+        assert (await client.read_table()).version == versions[-1]
+        assert not cluster.replicas["r3"].status().is_current
+
+
+async def test_loss_duplication_and_reordering_cost_no_change(autojump_clock):
+    async with open_cluster(5, options=SMALL_SNAPSHOTS) as cluster:
+        cluster.network.default = LinkState(0.002, 0.02, loss=0.1, duplication=0.2)
+        versions = []
+
+        async def operate(number):
+            client = cluster.create_client(f"operator-{number}", timeout=60)
+            versions.extend(await make_changes(client, 20))
+
+        async with trio.open_nursery() as nursery:
+            for number in range(4):
+                nursery.start_soon(operate, number)
+        cluster.network.default = LinkState()
+        assert len(set(versions)) == 80
+        await check_history(cluster, cluster.create_client(), versions)
+
+
+async def test_slow_link_to_a_follower_does_not_disturb_the_leader(autojump_clock):
+    async with open_cluster() as cluster:
+        client = cluster.create_client()
+        leader = await cluster.wait_leader()
+        slow = next(name for name in cluster.replica_ids if name != leader)
+        for pair in ((leader, slow), (slow, leader)):
+            state = attrs.evolve(cluster.network.default, delay=0.4)
+            cluster.network.set_link(*pair, state)
+        versions = await make_changes(client, 20)
+        await trio.sleep(30)
+        assert cluster.find_leader() == leader
+        await check_history(cluster, client, versions)
