Test routing against slow, cold, draining and refusing nodes

The tests found three faults: a retry after a refusal stayed in the refusing data centre, a cold node got no calls at all at a low load, and differences of a millionth in the estimate kept a readmitted node at half of its share.

--- a/src/coltsfootspar/routing/attempts.py
+++ b/src/coltsfootspar/routing/attempts.py
@@ -5,7 +5,7 @@
 import attrs
 import trio
 
-from coltsfootspar.calls import CallReply, CallRequest, Priority
+from coltsfootspar.calls import CallReply, CallRequest
 from coltsfootspar.exceptions import (
     AttemptsExhaustedError,
     DeadlineError,
@@ -23,7 +23,6 @@
 
 DRAINING_SKIP = 5.0
 UNREACHABLE_SKIP = 1.0
-REFUSAL_MEMORY = 0.25
 RETRY_PAUSE = 0.02
 FAILURE_LOG = math.log(10)
 # A call that meets draining nodes again and again is refused rather than
@@ -107,12 +106,15 @@
         )
         return trial or selected
 
-    def _select(self, now: float, *, again: bool = False) -> Destination | None:
+    def _select(
+        self, now: float, *, again: bool = False, is_refused: bool = False
+    ) -> Destination | None:
         return self._service.select(
             self._request.context.priority,
             now,
             excluded=frozenset() if again else self._tried,
             is_local=self._request.is_spilled,
+            is_refused=is_refused,
         )
 
     async def _select_next(self, result: AttemptResult) -> Destination | None:
@@ -139,7 +141,7 @@
         if self._refusals > 1:
             return None
         now = trio.current_time()
-        destination = self._select(now)
+        destination = self._select(now, is_refused=True)
         if destination is None or self._is_full(destination, now):
             return None
         return destination
@@ -254,7 +256,7 @@
         if result.is_draining:
             destination.skip(now + DRAINING_SKIP)
         if result.reply is not None:
-            self._record_signals(destination, result, now)
+            self._record_admission(destination, result, now)
         if result.is_server_error:
             self._record_latency(destination, attempt, FAILURE_LOG, now)
         elif not result.is_failed and result.reply is not None:
@@ -292,29 +294,22 @@
         if destination.is_ejected and attempt.start >= destination.ejected_at:
             self._service.stragglers.record(destination, log_ratio, now)
 
-    def _record_signals(
+    def _record_admission(
         self, destination: Destination, result: AttemptResult, now: float
     ) -> None:
-        floor, duration = self._find_floor(result)
-        if floor is None and result.is_refused:
-            return
-        destination.set_floor(floor, now + duration)
-        if floor is not None:
-            self._service.record_overload(now + duration)
-
-    def _find_floor(self, result: AttemptResult) -> tuple[Priority | None, float]:
-        """Finds which priorities a node admits, and for how long this holds.
-
-        :returns: None when it refuses none, as far as the reply tells.
-        """
+        """Learns which priorities a node admits."""
+        service = self._service
         for signal in result.reply.signals:
             if signal.service == self._request.service:
-                return signal.threshold, signal.expires_after
-        if not result.is_overloaded:
-            return None, 0.0
-        # It admits at best what ranks above the refused call.
-        priority = self._request.context.priority
-        return Priority(priority.importance, priority.bucket + 1), REFUSAL_MEMORY
+                until = now + signal.expires_after
+                destination.set_floor(signal.threshold, until)
+                service.record_overload(until)
+                return
+        if result.is_overloaded:
+            priority = self._request.context.priority
+            service.record_overload(destination.record_refusal(priority, now))
+        elif not result.is_refused:
+            destination.clear_floor()
 
     def _conclude(self, result: AttemptResult) -> CallReply:
         """Ends the call with what is certain about all of its attempts."""
--- a/src/coltsfootspar/routing/destinations.py
+++ b/src/coltsfootspar/routing/destinations.py
@@ -13,6 +13,8 @@
 
 MIN_WARM_SHARE = 0.1
 RESTART_SECONDS = 1.0
+MIN_REFUSAL_MEMORY = 0.25
+MAX_REFUSAL_MEMORY = 2.0
 # A new sample counts more the longer the last one lies back.
 MIN_SAMPLE_WEIGHT = 0.1
 MAX_SAMPLE_WEIGHT = 0.3
@@ -21,6 +23,7 @@
 OVERDUE_WEIGHT = 0.25
 OVERDUE_LOG = math.log(4)
 MAX_EVIDENCE = 8
+NOISE_LOG = 0.25
 MIN_SCORE_LOG = math.log(0.5)
 MAX_SCORE_LOG = math.log(100)
 
@@ -73,6 +76,7 @@
     _unreachable_until: float = 0.0
     _floor: Priority | None = None
     _floor_until: float = 0.0
+    _refusal_memory: float = MIN_REFUSAL_MEMORY
     _log_estimate: float = 0.0
     _log_overdue: float = 0.0
     _score: float = 1.0
@@ -82,6 +86,10 @@
         """Id of the node."""
         return self.candidate.node_id
 
+    @property
+    def _slots(self) -> int:
+        return max(1, self.candidate.slots)
+
     @property
     def log_score(self) -> float:
         """Logarithm of its latency relative to the usual latency of the rows."""
@@ -117,26 +125,43 @@
         """Prefers all others, since it could not be reached."""
         self._unreachable_until = until
 
-    def set_floor(self, floor: Priority | None, until: float) -> None:
+    def set_floor(self, floor: Priority, until: float) -> None:
         """Records which priorities it refuses.
 
-        :param floor: lowest priority that it admits; None when it admits all.
+        :param floor: lowest priority that it admits.
+        :param until: time until which this holds, seconds.
         """
         self._floor = floor
         self._floor_until = until
 
-    def compute_capacity(self, now: float) -> float:
-        """Computes the calls that it should get at once.
+    def clear_floor(self) -> None:
+        """Records that it admits all priorities."""
+        self._floor_until = 0.0
+        self._refusal_memory = MIN_REFUSAL_MEMORY
+
+    def record_refusal(self, priority: Priority, now: float) -> float:
+        """Records the refusal of a call; repeated ones are kept longer.
+
+        :param priority: priority of the call; it admits at best what ranks above.
+        :returns: time until which this holds, seconds.
+        """
+        self._floor = Priority(priority.importance, priority.bucket + 1)
+        self._floor_until = now + self._refusal_memory
+        self._refusal_memory = min(MAX_REFUSAL_MEMORY, self._refusal_memory * 2)
+        return self._floor_until
+
+    def compute_warm_share(self, now: float) -> float:
+        """Computes the share of its usual calls that it should get.
 
         :param now: trio clock, seconds.
-        :returns: its slots, fewer while it warms up.
+        :returns: rises from 0.1 to 1 while it warms up.
         """
-        candidate = self.candidate
-        slots = max(1, candidate.slots)
-        if now >= candidate.warm_at:
-            return slots
-        share = (now - self.first_seen) / (candidate.warm_at - self.first_seen)
-        return slots * max(MIN_WARM_SHARE, share)
+        warm_at = self.candidate.warm_at
+        if now >= warm_at:
+            return 1.0
+        return max(
+            MIN_WARM_SHARE, (now - self.first_seen) / (warm_at - self.first_seen)
+        )
 
     def is_full(self, priority: Priority, now: float) -> bool:
         """True when it would probably refuse a call.
@@ -145,7 +170,7 @@
         """
         if now < self._floor_until and priority < self._floor:
             return True
-        return len(self.calls) >= self.compute_capacity(now)
+        return len(self.calls) >= self._slots * self.compute_warm_share(now)
 
     def check(self, priority: Priority, now: float) -> Availability:
         """Tells how well it suits a call.
@@ -162,9 +187,9 @@
             return Availability.FULL
         return Availability.GOOD
 
-    def compute_cost(self, now: float) -> float:
+    def compute_cost(self) -> float:
         """Computes how long a call would probably take, in relation to others."""
-        return (len(self.calls) + 1) / self.compute_capacity(now) * self._score
+        return (len(self.calls) + 1) / self._slots * self._score
 
     def observe(self, log_ratio: float, now: float) -> None:
         """Adds the latency of a call to the estimate.
@@ -215,5 +240,8 @@
         return estimate - self._log_estimate
 
     def _refresh_score(self) -> None:
-        bounded = min(MAX_SCORE_LOG, max(MIN_SCORE_LOG, self.log_score))
-        self._score = math.exp(bounded)
+        score = self.log_score
+        if abs(score) < NOISE_LOG:
+            # Otherwise the smallest differences would decide between idle nodes.
+            score = 0.0
+        self._score = math.exp(min(MAX_SCORE_LOG, max(MIN_SCORE_LOG, score)))
--- a/src/coltsfootspar/routing/services.py
+++ b/src/coltsfootspar/routing/services.py
@@ -98,6 +98,7 @@
         *,
         excluded: Set[str] = frozenset(),
         is_local: bool = False,
+        is_refused: bool = False,
     ) -> Destination | None:
         """Selects a destination for an attempt.
 
@@ -108,22 +109,20 @@
         :param priority: priority of the call.
         :param excluded: ids of nodes that must not be used.
         :param is_local: true when only the own data centre may be used.
+        :param is_refused: true after a refusal; the other data centres come
+            first, since the load of the own one is even.
         :returns: None when there is none.
         """
         tiers = self._tiers[:1] if is_local else self._tiers
-        checked = []
-        for tier in tiers[:2]:
-            states = [
-                (d, d.check(priority, now)) for d in tier if d.node_id not in excluded
-            ]
+        checked = [
+            [(d, d.check(priority, now)) for d in tier if d.node_id not in excluded]
+            for tier in tiers
+        ]
+        region = checked[:2]
+        for states in reversed(region) if is_refused else region:
             good = [d for d, state in states if state is Availability.GOOD]
             if good:
                 return self._choose(good, now)
-            checked.append(states)
-        for tier in tiers[2:]:
-            checked.append(
-                [(d, d.check(priority, now)) for d in tier if d.node_id not in excluded]
-            )
         return self._choose_fallback(checked, now)
 
     def record_overload(self, until: float) -> None:
@@ -160,6 +159,7 @@
         step = 1 + int(self._random.random() * (count - 1))
         first = destinations[position]
         second = destinations[(position + step) % count]
-        if second.compute_cost(now) < first.compute_cost(now):
-            return second
-        return first
+        if second.compute_cost() < first.compute_cost():
+            first, second = second, first
+        share = first.compute_warm_share(now)
+        return first if share >= 1 or self.draw() < share else second
