--- a/src/coltsfootspar/client/cluster.py
+++ b/src/coltsfootspar/client/cluster.py
@@ -8,6 +8,7 @@
 from coltsfootspar.client.options import connect
 from coltsfootspar.client.output import (
     create_console,
+    format_count,
     format_value,
     print_grid,
     print_json,
@@ -62,7 +63,7 @@
     lines = [[member.get(field) for field in _MEMBER_FIELDS] for member in members]
     print_grid(headings, lines, numbers=["slots"])
     usable = sum(member.get("is_reachable") is True for member in members)
-    print(f"{len(members)} members, {usable} reachable.")
+    print(f"{format_count(len(members), 'member')}, {usable} reachable.")
 
 
 def drain_node(*, server: str | None = None, json: bool = False):
@@ -76,7 +77,8 @@
     if json:
         print_json(content)
         return
-    print(f"Draining, {content.get('in_progress', 0)} calls in progress.")
+    in_progress = format_count(content.get("in_progress", 0), "call")
+    print(f"Draining, {in_progress} in progress.")
 
 
 def show_trace(trace_id: str, *, server: str | None = None, json: bool = False):
--- a/src/coltsfootspar/client/output.py
+++ b/src/coltsfootspar/client/output.py
@@ -13,7 +13,9 @@
 
 __all__ = [
     "create_console",
+    "format_count",
     "format_time",
+    "format_value",
     "print_grid",
     "print_json",
     "print_json_line",
@@ -69,6 +71,11 @@
     return str(value)
 
 
+def format_count(count: int, noun: str) -> str:
+    """Formats a number of things."""
+    return f"{count} {noun}" if count == 1 else f"{count} {noun}s"
+
+
 def format_time(seconds: float) -> str:
     """Formats seconds since 1970 as a time in UTC."""
     time = datetime.datetime.fromtimestamp(seconds, datetime.UTC)
--- a/src/coltsfootspar/client/tables.py
+++ b/src/coltsfootspar/client/tables.py
@@ -11,6 +11,7 @@
 from coltsfootspar.client.content import decode_table, encode_edits
 from coltsfootspar.client.options import connect
 from coltsfootspar.client.output import (
+    format_count,
     format_time,
     print_grid,
     print_json,
@@ -69,7 +70,7 @@
         for row in rows
     ]
     print_grid(["row", *names], lines, numbers=_NUMBERS)
-    print(f"Table version {content['version']}, {len(rows)} rows.")
+    print(f"Table version {content['version']}, {format_count(len(rows), 'row')}.")
 
 
 def get_cells(
@@ -210,9 +211,9 @@
     if not edits:
         print("The table has this content already.")
     elif dry_run:
-        print(f"{len(edits)} edits, not sent.")
+        print(f"{format_count(len(edits), 'edit')}, not sent.")
     else:
-        print(f"{len(edits)} edits. Table version {version}.")
+        print(f"{format_count(len(edits), 'edit')}. Table version {version}.")
 
 
 def export_table(file: str = "-", *, server: str | None = None):
@@ -280,7 +281,8 @@
     with connect(server) as connection:
         known = connection.get("/table")
         version = known["version"] if after is None else after
-        if after is not None and after < known["version"]:
+        if version < known["version"]:
+            # The values before the changes that are shown first are not known.
             known = {"rows": []}
         seen = 0
         while not count or seen < count:
@@ -288,7 +290,10 @@
             # The long poll ends after a while also without a change.
             if content["version"] <= version:
                 continue
-            _print_version(content, known, json=json)
+            if json:
+                print_json_line(content)
+            else:
+                _print_version(content, known, version)
             known, version = content, content["version"]
             seen += 1
 
@@ -358,26 +363,31 @@
 
 
 def _print_version(
-    content: dict[str, Any], known: dict[str, Any], *, json: bool
+    content: dict[str, Any], known: dict[str, Any], version: int
 ) -> None:
-    if json:
-        print_json_line(content)
-        return
-    before = _collect_values(known)
-    after = _collect_values(content)
-    print(f"Table version {content['version']}:", flush=True)
+    """Prints the cells that changed after a version.
+
+    :param known: the last content that was read, for the values before.
+    """
+    before = _collect_cells(known)
+    after = _collect_cells(content)
     lines = [
-        [row, column, before.get((row, column)), after.get((row, column))]
-        for row, column in sorted(before.keys() | after.keys())
-        if before.get((row, column)) != after.get((row, column))
+        [*place, before[place]["value"] if place in before else None, cell["value"]]
+        for place, cell in sorted(after.items())
+        if cell["version"] > version
+    ]
+    lines += [
+        [*place, before[place]["value"], None]
+        for place in sorted(before.keys() - after.keys())
     ]
+    print(f"Table version {content['version']}:", flush=True)
     headings = ["row", "column", "before", "after"]
     print_grid(headings, lines, numbers=["before", "after"])
 
 
-def _collect_values(content: dict[str, Any]) -> dict[tuple[str, str], Any]:
+def _collect_cells(content: dict[str, Any]) -> dict[tuple[str, str], Any]:
     return {
-        (row["row"], column): cell["value"]
+        (row["row"], column): cell
         for row in content["rows"]
         for column, cell in row["cells"].items()
     }
