Test the UDP port over loopback

Errors that the operating system reports for earlier datagrams must not end the receiver. Four tests pass, among them two members that join over UDP.

--- /dev/null
+++ b/src/coltsfootspar/membership/tests/test_ports.py
@@ -0,0 +1,56 @@
+"""The UDP port must survive what the operating system reports."""
+
+import random
+
+import pytest
+import trio
+
+from coltsfootspar.exceptions import MembershipError
+from coltsfootspar.membership import NodeIdentity, create_membership, open_udp_port
+from coltsfootspar.timers import create_timer_service
+from coltsfootspar.wire import MAX_DATAGRAM_BYTES, Address
+
+ANY_PORT = Address("127.0.0.1", 0)
+
+
+async def test_datagrams_pass_with_the_address_of_their_sender():
+    async with open_udp_port(ANY_PORT) as left, open_udp_port(ANY_PORT) as right:
+        await left.send(right.address, b"x" * MAX_DATAGRAM_BYTES)
+        assert await right.receive() == (b"x" * MAX_DATAGRAM_BYTES, left.address)
+
+
+async def test_refused_datagrams_do_not_end_the_receiver():
+    async with open_udp_port(ANY_PORT) as port:
+        async with open_udp_port(ANY_PORT) as closed:
+            gone = closed.address
+        for _ in range(3):
+            await port.send(gone, b"lost")
+        await port.send(port.address, b"next")
+        assert await port.receive() == (b"next", port.address)
+
+
+async def test_port_in_use_is_an_error_of_membership():
+    async with open_udp_port(ANY_PORT) as port:
+        with pytest.raises(MembershipError, match="cannot bind"):
+            async with open_udp_port(port.address):
+                raise AssertionError("the port was opened twice")
+
+
+async def test_members_find_each_other_over_udp():
+    async with trio.open_nursery() as nursery:
+        members = []
+        async with open_udp_port(ANY_PORT) as left, open_udp_port(ANY_PORT) as right:
+            for name, port in (("a-0", left), ("a-1", right)):
+                timers = create_timer_service(random.Random(1))
+                identity = NodeIdentity(name, "r", "a", port.address, ANY_PORT, 1)
+                member = create_membership(
+                    identity, [left.address], port, b"key", timers, random.Random(2)
+                )
+                nursery.start_soon(timers.run)
+                nursery.start_soon(member.run)
+                members.append(member)
+            known = trio.Event()
+            members[0].subscribe(lambda member: known.set())
+            await known.wait()
+            assert {m.node_id for m in members[0].list_members()} == {"a-0", "a-1"}
+            nursery.cancel_scope.cancel()
