--- a/src/coltsfootspar/bench/deployment.py
+++ b/src/coltsfootspar/bench/deployment.py
@@ -89,9 +89,10 @@
             self.inbound[host.node_id] = listen["inbound"]
             self.admin[host.node_id] = listen["admin"]
 
-    def start_all(self) -> None:
+    def start_all(self, *, with_stand_ins: bool = True) -> None:
         """Formats the data folders, starts all processes and waits for them.
 
+        :param with_stand_ins: false to start no backend servers.
         :raises BenchError: when a process does not become ready.
         """
         embedded = any(host.holds_replica for host in self.hosts)
@@ -104,7 +105,8 @@
             self.start_node(host)
         for host in self.hosts:
             self.wait_until_ready(host.node_id)
-            self.start_stand_in(host)
+            if with_stand_ins:
+                self.start_stand_in(host)
 
     def start_replica(self, replica_id: str) -> None:
         """Starts a replica on its data folder."""
@@ -132,6 +134,18 @@
             str(host.slots),
         )
 
+    def announce(self, host: HostPlan, port: int) -> None:
+        """Announces a backend server for which no process runs."""
+        content = {
+            "service": host.service,
+            "host": "127.0.0.1",
+            "port": port,
+            "slots": host.slots,
+        }
+        address = self._listeners[host.node_id]["outbound"]
+        path = "/coltsfootspar/backend"
+        self.request(address, "PUT", path, body=json.dumps(content))
+
     def wait_until_ready(self, name: str) -> None:
         """Waits until the admin interface of a process answers."""
         wait_for(lambda: self.get(name, "/health"), f"{name} to become ready")
--- a/src/coltsfootspar/bench/standin.py
+++ b/src/coltsfootspar/bench/standin.py
@@ -39,7 +39,7 @@
     """What the stand-in does for one kind of request.
 
     :param prefix: requests whose path starts so.
-    :param service_ms: mean service time, exponentially distributed.
+    :param service_ms: mean service time, exponentially distributed; 0 for none.
     :param calls: ``service METHOD /path`` of the calls that it makes, in order.
     :param echo: true to answer with the request's body.
     """
@@ -97,7 +97,8 @@
         behaviour = self._find_behaviour(request.target)
         async with self._limiter:
             self.executed += 1
-            await trio.sleep(self._random.expovariate(1e3 / behaviour.service_ms))
+            if behaviour.service_ms:
+                await trio.sleep(self._random.expovariate(1e3 / behaviour.service_ms))
             for call in behaviour.calls:
                 status = await self._call(call, request)
                 if status >= 500:
--- a/src/coltsfootspar/node/admin.py
+++ b/src/coltsfootspar/node/admin.py
@@ -34,7 +34,12 @@
             await self._parts.copy.wait_for_change()
 
     async def check_health(self, request: AdminRequest) -> Any:
-        return {"status": "ok", "table_version": self._parts.copy.version}
+        copy = self._parts.copy
+        return {
+            "status": "ok",
+            "table_version": copy.version,
+            "table_applied_at": copy.applied_at,
+        }
 
     async def show_metrics(self, request: AdminRequest) -> RawAnswer:
         metrics = self._parts.metrics
--- a/src/coltsfootspar/node/tables.py
+++ b/src/coltsfootspar/node/tables.py
@@ -1,5 +1,7 @@
 """The node's copy of the table."""
 
+import time
+
 import attrs
 import trio
 from absl import logging
@@ -14,7 +16,7 @@
     """The highest version of the table that this node has seen.
 
     :param table: the table in force.
-    :param applied_at: time on the trio clock at which it came into force.
+    :param applied_at: Unix time at which it came into force, seconds.
     """
 
     table: Table
@@ -44,7 +46,7 @@
             return False
         self.table = table
         self._matcher = create_matcher(table)
-        self.applied_at = trio.current_time()
+        self.applied_at = time.time()
         self._changed.set()
         self._changed = trio.Event()
         logging.info("Table version %d is in force", table.version)
