--- a/src/coltsfootspar/admission/limits.py
+++ b/src/coltsfootspar/admission/limits.py
@@ -43,9 +43,10 @@
     start: float
     own_seconds: float = 0.0
     expected_seconds: float = 0.0
+    compared: int = 0
     samples: int = 0
     failures: int = 0
-    peak: int = 0
+    in_use: int = 0
 
 
 @attrs.frozen
@@ -84,7 +85,7 @@
             return
         if self.slots == 0:
             self._warm_start, self._warm_at = now, now + cold_start
-            self._limit = slots * self._ceiling
+            self._limit = slots
             self._scale = 1.0
         else:
             self._limit *= slots / self.slots
@@ -127,7 +128,7 @@
             normal, so that usual times may be learned.
         """
         window = self._window
-        window.peak = max(window.peak, in_use)
+        window.in_use = in_use
         window.samples += 1
         if not succeeded:
             window.failures += 1
@@ -136,6 +137,7 @@
         ):
             window.own_seconds += service_seconds - below_seconds
             window.expected_seconds += expected_seconds
+            window.compared += 1
         if not self._is_window_complete(now):
             return False
         self._window = _Window(now)
@@ -148,24 +150,24 @@
         elapsed = now - window.start
         if elapsed >= _MAX_WINDOW_SECONDS:
             return True
-        if window.samples < _MIN_WINDOW_SAMPLES:
+        if max(window.compared, window.failures) < _MIN_WINDOW_SAMPLES:
             return False
         # Calls that began under the previous limit must not decide about the
         # present one.
-        mean = window.own_seconds / window.samples
+        mean = window.own_seconds / max(1, window.compared)
         return elapsed >= max(_MIN_WINDOW_SECONDS, 2 * mean)
 
     def _adapt(self, window: _Window) -> bool:
         if window.failures > _FAILING_SHARE * window.samples:
             self._decrease()
             return False
-        if window.samples < _MIN_WINDOW_SAMPLES or window.expected_seconds <= 0:
+        if window.compared < _MIN_WINDOW_SAMPLES:
             self._increase()
             return False
         ratio = window.own_seconds / (window.expected_seconds * self._scale)
         if ratio < 1 and self._scale > 1:
             self._scale = max(1.0, self._scale * ratio)
-        is_busy = window.peak >= _BUSY_SHARE * min(self._limit, self.slots)
+        is_busy = window.in_use >= _BUSY_SHARE * min(self._limit, self.slots)
         if ratio > _HIGH_RATIO and is_busy:
             self._try_lower(ratio)
             return False
--- a/src/coltsfootspar/admission/thresholds.py
+++ b/src/coltsfootspar/admission/thresholds.py
@@ -12,6 +12,9 @@
 _WINDOW_SECONDS = 0.05
 _MAX_WINDOWS = 20
 
+# An announcement may end a window early, but not one without any time.
+_MIN_WINDOW_SECONDS = 0.01
+
 # Demand fades by the first factor for each window, or more slowly while fewer
 # than _MIN_CALLS calls are remembered.
 _WINDOW_DECAY = 0.5
@@ -89,6 +92,8 @@
         :returns: true when the delay stayed over the target.
         """
         elapsed = now - self._window_start
+        if elapsed < _MIN_WINDOW_SECONDS:
+            return False
         self._window_start = now
         lowest = min(self._lowest_delay, delay)
         self._lowest_delay = delay
