Test the allowance over generated call graphs

Nothing showed that retries stay bounded over a whole request. Real routers and pipelines now carry requests through generated graphs up to 11 hops deep with failures at any hop. Against routers that do not charge a retry, a hedge or a lost reply to the allowance the tests fail.

--- a/src/coltsfootspar/routing/router.py
+++ b/src/coltsfootspar/routing/router.py
@@ -29,6 +29,8 @@
     async def call(self, request: CallRequest, row: Row) -> CallReply:
         """Sends a call to one of the candidates of its service."""
         service = self._get_service(request.service)
+        candidates = self._directory.list_candidates(request.service)
+        service.update(candidates, trio.current_time())
         service.budget.record_call()
         statistics = service.get_row(row.name)
         allowance = request.context.allowance
@@ -40,8 +42,6 @@
         if service is None:
             service = ServiceState(self._site, self._random, self._delays)
             self._services[name] = service
-        candidates = self._directory.list_candidates(name)
-        service.update(candidates, trio.current_time())
         return service
 
 
--- /dev/null
+++ b/src/coltsfootspar/routing/tests/test_allowance.py
@@ -0,0 +1,316 @@
+"""Retries must not multiply along a call graph, whatever fails."""
+
+import collections
+import itertools
+import random
+
+import attrs
+import trio
+from hypothesis import given, settings, strategies as st
+from trio.testing import MockClock
+
+from coltsfootspar.calls import (
+    CallContext,
+    CallReply,
+    CallRequest,
+    Outcome,
+    Priority,
+    Refusal,
+)
+from coltsfootspar.exceptions import BackendError, LinkError, RoutingError
+from coltsfootspar.node.interfaces import IncomingCall
+from coltsfootspar.node.pipeline import create_pipeline
+from coltsfootspar.routing import Candidate, create_router
+from coltsfootspar.table import create_matcher, create_table, parse_row_key
+from coltsfootspar.table.rows import create_row
+
+SETTINGS = settings(derandomize=True, max_examples=60, deadline=None)
+NODES_PER_SERVICE = 3
+MAX_DEPTH = 11
+MAX_CALLS = 40
+FAILURES = ("error", "broken", "refused", "not-sent", "lost", "slow")
+
+
+def run_on_virtual_clock(function, *args):
+    return trio.run(function, *args, clock=MockClock(autojump_threshold=0))
+
+
+@attrs.define
+class PassAll:
+    """Gate, admission, permit and pass that let everything through."""
+
+    def admit(self, row, context):
+        return self
+
+    def close(self, reply):
+        pass
+
+    async def acquire(self, request, row):
+        return self
+
+    def release(self, service_seconds, *, succeeded):
+        pass
+
+    def get_signals(self):
+        return ()
+
+
+@attrs.define
+class Span:
+    span_id: str
+
+    def set_attribute(self, name, value):
+        pass
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *exc_info):
+        pass
+
+
+@attrs.define
+class Tracer:
+    ids: itertools.count = attrs.field(factory=itertools.count)
+
+    def open_span(self, name, trace_id, parent_span_id):
+        return Span(f"{next(self.ids):016x}")
+
+
+@attrs.define
+class Graph:
+    """A deployment whose service ``i`` calls the services ``children[i]``."""
+
+    children: list
+    failing: dict
+    source: random.Random
+    is_parallel: bool
+    retries: int
+    attempts: collections.Counter = attrs.field(factory=collections.Counter)
+    repeats: int = 0
+    pipelines: dict = attrs.field(factory=dict)
+    matcher: object = None
+
+    def __attrs_post_init__(self):
+        keys = [parse_row_key(f"s{i} GET /") for i in range(len(self.children))]
+        rows = [create_row(key, retries=self.retries) for key in keys]
+        self.matcher = create_matcher(create_table(rows))
+        tracer = Tracer()
+        for i, j in itertools.product(range(len(rows)), range(NODES_PER_SERVICE)):
+            node_id = f"s{i}-{j}"
+            router = create_router(node_id, "r", "a", self, self, self.source)
+            for child in self.children[i]:
+                # Short enough that slow calls are hedged.
+                window = router._get_service(f"s{child}").get_row(f"s{child} GET /")
+                window.window.median = window.window.p95 = 0.01
+            self.pipelines[node_id] = create_pipeline(
+                node_id=node_id,
+                table=self,
+                gate=PassAll(),
+                router=router,
+                admission=PassAll(),
+                backend=Backend(self, i, node_id),
+                once=None,
+                tracer=tracer,
+            )
+
+    def list_candidates(self, service):
+        data_centres = ("a", "a", "b")
+        return [
+            Candidate(f"{service}-{j}", service, "r", data_centres[j], 10)
+            for j in range(NODES_PER_SERVICE)
+        ]
+
+    def draw_failure(self, service):
+        share, kinds = self.failing.get(int(service[1:]), (0.0, FAILURES))
+        return self.source.choice(kinds) if self.source.random() < share else None
+
+    async def call(self, node_id, request):
+        """Carries a call; it may be lost before or after it ran."""
+        self.repeats += request.attempt > 1
+        failure = self.draw_failure(request.service)
+        if failure == "not-sent":
+            raise LinkError("not sent", may_have_run=False)
+        await trio.sleep(0.001)
+        if failure == "refused":
+            refusal = Refusal("overload", 1.0)
+            unused = request.context.allowance
+            return CallReply(503, (), b"", Outcome.NOT_RUN, refusal, unused)
+        reply = await self.pipelines[node_id].serve(request)
+        if failure == "lost":
+            raise LinkError("lost", may_have_run=True)
+        return reply
+
+
+@attrs.define
+class LosingGraph(Graph):
+    """Loses the first reply of one service."""
+
+    is_lost: bool = False
+
+    def draw_failure(self, service):
+        if service != "s6" or self.is_lost:
+            return None
+        self.is_lost = True
+        return "lost"
+
+
+@attrs.define
+class Backend:
+    graph: Graph
+    service: int
+    node_id: str
+
+    async def execute(self, request):
+        graph = self.graph
+        graph.attempts[self.service] += 1
+        failure = graph.draw_failure(request.service)
+        await trio.sleep(0.1 if failure == "slow" else 0.001)
+        if failure == "broken":
+            raise BackendError("broken", may_have_run=True)
+        replies = await self.call_children(request)
+        if failure == "error" or any(reply.status >= 500 for reply in replies):
+            return CallReply(500)
+        return CallReply(200)
+
+    async def call_children(self, request):
+        replies = []
+
+        async def call(child):
+            context = request.context
+            incoming = create_call(child, context.parent_span_id, is_internal=True)
+            replies.append(await self.graph.pipelines[self.node_id].enter(incoming))
+
+        children = self.graph.children[self.service]
+        if self.graph.is_parallel:
+            async with trio.open_nursery() as nursery:
+                for child in children:
+                    nursery.start_soon(call, child)
+        else:
+            for child in children:
+                await call(child)
+        return replies
+
+
+def create_call(service, span_id="", *, is_internal=False):
+    trace_id = "a" * 32
+    return IncomingCall(
+        f"s{service}", "GET", "/", (), b"", trace_id, span_id, is_internal
+    )
+
+
+def count_natural_calls(children):
+    counts = [1] + [0] * (len(children) - 1)
+    for service, called in enumerate(children):
+        for child in called:
+            counts[child] += counts[service]
+    return counts
+
+
+@st.composite
+def draw_children(draw):
+    """Draws a chain, to which further calls deeper in the graph are added."""
+    size = draw(st.integers(1, MAX_DEPTH))
+    children = [[i + 1] for i in range(size - 1)] + [[]]
+    for caller in range(size - 1):
+        for child in draw(st.lists(st.integers(caller + 1, size - 1), max_size=2)):
+            children[caller].append(child)
+            if sum(count_natural_calls(children)) > MAX_CALLS:
+                children[caller].pop()
+    return children
+
+
+async def send_request(graph):
+    # Enters at a node of the first service, as a client's request does.
+    reply = await graph.pipelines["s0-0"].enter(create_call(0))
+    return reply.status
+
+
+def check_attempts(graph):
+    assert graph.repeats <= graph.retries
+    natural = count_natural_calls(graph.children)
+    for service, attempts in graph.attempts.items():
+        assert attempts <= (1 + graph.retries) * natural[service]
+
+
+FAILING = st.dictionaries(
+    st.integers(0, MAX_DEPTH - 1),
+    st.tuples(
+        st.sampled_from([0.2, 0.6, 1.0]),
+        st.lists(st.sampled_from(FAILURES), min_size=1).map(tuple),
+    ),
+)
+
+
+@SETTINGS
+@given(draw_children(), FAILING, st.integers(0, 6), st.booleans(), st.integers(0, 99))
+def test_attempts_stay_within_the_allowance(
+    children, failing, retries, is_parallel, seed
+):
+    """Guards against retries that multiply from hop to hop."""
+    source = random.Random(seed)
+    graph = Graph(children, failing, source, is_parallel, retries)
+    run_on_virtual_clock(send_request, graph)
+    check_attempts(graph)
+
+
+def test_chain_of_eleven_hops_that_all_fail_spends_the_allowance_once():
+    chain = [[i + 1] for i in range(MAX_DEPTH - 1)] + [[]]
+    failing = dict.fromkeys(range(MAX_DEPTH), (1.0, ("error",)))
+    graph = Graph(chain, failing, random.Random(1), is_parallel=False, retries=3)
+    assert run_on_virtual_clock(send_request, graph) == 500
+    check_attempts(graph)
+    assert graph.attempts[MAX_DEPTH - 1] == 1 + 3
+
+
+def test_chain_of_eleven_hops_recovers_from_a_lost_reply():
+    """Guards against a reply that is lost together with the whole allowance."""
+    chain = [[i + 1] for i in range(MAX_DEPTH - 1)] + [[]]
+    graph = LosingGraph(chain, {}, random.Random(1), is_parallel=False, retries=2)
+    assert run_on_virtual_clock(send_request, graph) == 200
+
+
+RESULTS = st.lists(
+    st.sampled_from(("not-sent", "lost", "refused", "draining", "error", "ok")),
+    min_size=12,
+    max_size=12,
+)
+
+
+@SETTINGS
+@given(RESULTS, st.integers(0, 6))
+def test_once_rows_get_no_attempt_after_one_that_may_have_run(results, allowance):
+    """Guards against double effects of payouts and bookings."""
+    sent = []
+
+    class Link:
+        async def call(self, node_id, request):
+            result = results[len(sent)]
+            sent.append(result)
+            await trio.sleep(0.001)
+            if result in ("not-sent", "lost"):
+                raise LinkError(result, may_have_run=result == "lost")
+            if result in ("refused", "draining"):
+                refusal = Refusal(result, 1.0)
+                return CallReply(503, (), b"", Outcome.NOT_RUN, refusal)
+            return CallReply(200 if result == "ok" else 500)
+
+    class Directory:
+        def list_candidates(self, service):
+            return [Candidate(f"n{i}", service, "r", "a", 10) for i in range(20)]
+
+    async def send():
+        row = create_row(parse_row_key("payouts POST /"), execution="once")
+        deadline = trio.current_time() + 5
+        context = CallContext("a" * 32, "", deadline, Priority(5, 1), allowance)
+        request = CallRequest("payouts", "POST", "/", (), b"", context)
+        router = create_router("n", "r", "a", Directory(), Link(), random.Random(1))
+        try:
+            return (await router.call(request, row)).outcome is not Outcome.NOT_RUN
+        except RoutingError as error:
+            return error.may_have_run
+
+    may_have_run = run_on_virtual_clock(send)
+    ran = [result in ("lost", "error", "ok") for result in sent]
+    assert not any(ran[:-1])
+    assert may_have_run == ran[-1]
