--- a/src/coltsfootspar/routing/links.py
+++ b/src/coltsfootspar/routing/links.py
@@ -179,7 +179,7 @@
     ::
 
         links = create_peer_links(identity, members.find_address)
-        nursery.start_soon(links.run)
+        await nursery.start(links.run)
         reply = await links.call("node-2", request)
     """
 
@@ -194,11 +194,14 @@
     _nursery: trio.Nursery | None = None
     _peers: dict[str, _PeerTask] = attrs.field(factory=dict)
 
-    async def run(self) -> None:
+    async def run(
+        self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
         """Keeps the connections until cancelled."""
         try:
             async with trio.open_nursery() as nursery:
                 self._nursery = nursery
+                task_status.started()
                 await trio.sleep_forever()
         finally:
             self._nursery = None
