--- a/src/coltsfootspar/routing/attempts.py
+++ b/src/coltsfootspar/routing/attempts.py
@@ -13,6 +13,7 @@
     NoCandidateError,
 )
 from coltsfootspar.routing.destinations import Attempt, Destination
+from coltsfootspar.routing.hedging import HedgeTimer, Race
 from coltsfootspar.routing.interfaces import PeerLink
 from coltsfootspar.routing.latency import RowStatistics
 from coltsfootspar.routing.results import AttemptResult
@@ -32,23 +33,6 @@
 HEDGE_MEDIANS = 2.0
 
 
-@attrs.define(eq=False)
-class _Race:
-    """An attempt and its hedge; the first useful result ends it."""
-
-    scope: trio.CancelScope
-    running: int = 0
-    result: AttemptResult | None = None
-
-    def finish(self, result: AttemptResult) -> None:
-        """Takes the result of one of the two."""
-        self.running -= 1
-        if self.result is None or not self.result.is_settled:
-            self.result = result
-        if result.is_settled or self.running == 0:
-            self.scope.cancel()
-
-
 @attrs.define(eq=False)
 class RoutedCall:
     """The attempts of one call.
@@ -62,12 +46,13 @@
     _service: ServiceState
     _link: PeerLink
     _statistics: RowStatistics
+    _timer: HedgeTimer
     remaining: int
     _tried: set[str] = attrs.field(factory=set)
     _attempts: int = 0
     _refusals: int = 0
     _reroutes: int = 0
-    _has_cancelled: bool = False
+    _in_flight: int = 0
     _may_have_run: AttemptResult | None = None
 
     async def run(self) -> CallReply:
@@ -81,7 +66,7 @@
                 return await self._run_attempts()
         raise DeadlineError(
             f"no answer of {self._request.service} before the deadline",
-            may_have_run=self._has_cancelled or self._may_have_run is not None,
+            may_have_run=self._in_flight > 0 or self._may_have_run is not None,
         )
 
     async def _run_attempts(self) -> CallReply:
@@ -162,29 +147,25 @@
         delay = self._compute_hedge_delay()
         if delay is None:
             return await self._send(destination, granted)
-        async with trio.open_nursery() as nursery:
-            race = _Race(nursery.cancel_scope)
-            nursery.start_soon(self._hedge, race, delay)
-            await self._compete(race, destination, granted)
-        return race.result
-
-    async def _compete(
-        self, race: _Race, destination: Destination, granted: int
-    ) -> None:
-        race.running += 1
-        race.finish(await self._send(destination, granted))
+        race = Race()
+        hedge = self._timer.schedule(trio.current_time() + delay, race, self._hedge)
+        try:
+            with race.scope:
+                await race.run(self._send(destination, granted))
+            return await race.wait()
+        finally:
+            hedge.cancel()
 
-    async def _hedge(self, race: _Race, delay: float) -> None:
-        await trio.sleep(delay)
+    async def _hedge(self, race: Race) -> None:
         now = trio.current_time()
-        if now < self._service.overloaded_until:
+        if race.over.is_set() or now < self._service.overloaded_until:
             return
         destination = self._select(now)
         if destination is None or self._is_full(destination, now):
             return
         if self._service.budget.spend():
             self.remaining -= 1
-            await self._compete(race, destination, self._grant())
+            await race.run(self._send(destination, self._grant()))
 
     def _compute_hedge_delay(self) -> float | None:
         """Computes when to send the call a second time; None for never."""
@@ -215,16 +196,18 @@
         sent = self._create_attempt(destination, granted)
         attempt = Attempt(self._statistics, trio.current_time())
         destination.calls.add(attempt)
+        self._in_flight += 1
         try:
             result = AttemptResult(await self._link.call(destination.node_id, sent))
         except LinkError as error:
             result = AttemptResult(error=error)
         except trio.Cancelled:
-            self._has_cancelled = True
+            # It stays in flight for this call: it may have run.
             self._record_cancelled(destination, attempt)
             raise
         finally:
             destination.calls.discard(attempt)
+        self._in_flight -= 1
         self._take_back(result, granted)
         self._record(destination, attempt, result)
         return result
--- a/src/coltsfootspar/routing/router.py
+++ b/src/coltsfootspar/routing/router.py
@@ -7,6 +7,7 @@
 
 from coltsfootspar.calls import CallReply, CallRequest
 from coltsfootspar.routing.attempts import RoutedCall
+from coltsfootspar.routing.hedging import HedgeTimer
 from coltsfootspar.routing.interfaces import Directory, PeerLink, Router
 from coltsfootspar.routing.latency import LinkDelays
 from coltsfootspar.routing.services import ServiceState, Site
@@ -24,6 +25,7 @@
     _link: PeerLink
     _random: random.Random
     _delays: LinkDelays = attrs.field(factory=LinkDelays)
+    _hedges: HedgeTimer = attrs.field(factory=HedgeTimer)
     _services: dict[str, ServiceState] = attrs.field(factory=dict)
 
     async def call(self, request: CallRequest, row: Row) -> CallReply:
@@ -34,7 +36,9 @@
         service.budget.record_call()
         statistics = service.get_row(row.name)
         allowance = request.context.allowance
-        call = RoutedCall(request, row, service, self._link, statistics, allowance)
+        call = RoutedCall(
+            request, row, service, self._link, statistics, self._hedges, allowance
+        )
         return await call.run()
 
     def _get_service(self, name: str) -> ServiceState:
--- a/src/coltsfootspar/routing/tests/test_router.py
+++ b/src/coltsfootspar/routing/tests/test_router.py
@@ -62,6 +62,7 @@
     answer: object
     sent: list = attrs.field(factory=list)
     cancelled: list = attrs.field(factory=list)
+    error_seconds: float = 0.001
 
     @property
     def node_ids(self):
@@ -75,14 +76,13 @@
     async def call(self, node_id, request):
         self.sent.append((node_id, request))
         reply = self.answer(node_id, request)
-        if isinstance(reply, LinkError):
-            await trio.sleep(0.001)
-            raise reply
         try:
-            await trio.sleep(reply.service_seconds)
+            await trio.sleep(getattr(reply, "service_seconds", self.error_seconds))
         except trio.Cancelled:
             self.cancelled.append(node_id)
             raise
+        if isinstance(reply, LinkError):
+            raise reply
         return attrs.evolve(reply, unused_allowance=request.context.allowance)
 
 
@@ -339,6 +339,31 @@
     assert link.cancelled == [first]
 
 
+async def test_hedge_in_flight_at_the_deadline_may_have_run(autojump_clock):
+    """Guards against "not run" for a call whose hedge reached a server."""
+    router, link = create_parts(lambda *_: OK)
+    await drive(router, seconds=1)
+    link.error_seconds = 0.5
+    answers = iter([NOT_SENT, attrs.evolve(OK, service_seconds=60)])
+    link.answer = lambda *_: next(answers)
+    with pytest.raises(DeadlineError) as caught:
+        await router.call(create_request(remaining=1.0), READ)
+    assert caught.value.may_have_run
+    await trio.sleep(1)
+    assert len(link.cancelled) == 1
+
+
+async def test_abandoned_call_starts_no_hedge(autojump_clock):
+    router, link = create_parts(lambda *_: OK)
+    await drive(router, seconds=1)
+    link.answer = lambda *_: attrs.evolve(OK, service_seconds=60)
+    link.sent.clear()
+    with trio.move_on_after(USUAL):
+        await router.call(create_request(), READ)
+    await trio.sleep(1)
+    assert len(link.sent) == 1
+
+
 @pytest.mark.parametrize("options", [{"row": ONCE}, {"allowance": 0}])
 async def test_no_hedge_without_allowance_or_for_once_rows(options, autojump_clock):
     def answer(node_id, request):
