--- a/src/coltsfootspar/node/pipeline.py
+++ b/src/coltsfootspar/node/pipeline.py
@@ -59,6 +59,15 @@
         """Takes no new work for the own backend server from now on."""
         self._is_draining = True
 
+    def resume(self) -> None:
+        """Takes new work again, for a backend server that came back."""
+        self._is_draining = False
+
+    @property
+    def is_draining(self) -> bool:
+        """True while no new work is taken for the own backend server."""
+        return self._is_draining
+
     def drop_expired_contexts(self) -> int:
         """Forgets calls of the backend server past their deadline."""
         return self._contexts.drop_expired(trio.current_time())
@@ -231,7 +240,13 @@
         unused: int,
         elapsed: float,
     ) -> CallReply:
+        outcome = reply.outcome
         refusal = reply.refusal
+        if scope.reached and outcome is Outcome.NOT_RUN and refusal is not None:
+            # A backend server that has made calls has begun to run; it may have
+            # copied the header from the answer to one of them.
+            outcome = Outcome.RAN
+            refusal = attrs.evolve(refusal, below=True)
         if refusal is None and reply.status >= _SERVER_ERROR and scope.is_refused_below:
             # Nodes above must not retry: the refusal was already handled where
             # it happened.
@@ -239,6 +254,7 @@
         signals = {s.service: s for s in self._admission.get_signals()}
         return attrs.evolve(
             reply,
+            outcome=outcome,
             refusal=refusal,
             unused_allowance=unused,
             signals=(*signals.values(), *scope.signals.values()),
