Drop the parts of messages that are cancelled half way

A cancelled request left the body chunks received so far in the memory of the peer until the connection ended, and a cancelled reply left them with the sender of the request. Both ends now drop them; the parts of a reply that nobody waits for are not kept. Both cases failed in a test before.

--- a/src/coltsfootspar/wire/connection.py
+++ b/src/coltsfootspar/wire/connection.py
@@ -136,6 +136,7 @@
             raise
         finally:
             self._pending.pop(correlation, None)
+            self._partials.pop((correlation, True), None)
         if pending.error is not None:
             raise pending.error
         return pending.reply
@@ -262,11 +263,17 @@
             scope = self._serving.get(frame.correlation)
             if scope is not None:
                 scope.cancel()
-        elif frame.kind is not FrameKind.PONG:
+            self._partials.pop((frame.correlation, False), None)
+        elif frame.kind is not FrameKind.PONG and not self._is_late(frame):
             whole = self._assemble(frame)
             if whole is not None:
                 self._deliver(frame, whole, nursery)
 
+    def _is_late(self, frame: Frame) -> bool:
+        """True for a part of a reply that nobody waits for any more."""
+        is_reply = bool(frame.flags & FrameFlag.REPLY)
+        return is_reply and frame.correlation not in self._pending
+
     def _assemble(self, frame: Frame) -> Message | None:
         key = (frame.correlation, bool(frame.flags & FrameFlag.REPLY))
         has_more = bool(frame.flags & FrameFlag.MORE)
--- a/src/coltsfootspar/wire/tests/test_connection.py
+++ b/src/coltsfootspar/wire/tests/test_connection.py
@@ -115,6 +115,28 @@
         assert (await dialer.request(Message(FrameKind.CALL, b"0"))).payload == b"0"
 
 
+@pytest.mark.parametrize("seconds", [1.0, 3.0], ids=["request", "reply"])
+async def test_message_cancelled_half_way_leaves_nothing_behind(
+    seconds, autojump_clock
+):
+    """Guards against bodies that pile up when large messages are cancelled."""
+    body = bytes(4 << 20)
+    async with open_pair() as (dialer, listener, (left, right)):
+        for stream in (left, right):
+            send_all = stream.send_all
+
+            async def send_slowly(data, send_all=send_all):
+                await trio.sleep(len(data) / (2 << 20))
+                await send_all(data)
+
+            stream.send_all = send_slowly
+        with trio.move_on_after(seconds):
+            await dialer.request(Message(FrameKind.CALL, b"0", body))
+        await trio.sleep(5)
+        assert not dialer._partials and not listener._partials
+        assert not dialer.is_closed and listener.serving == 0
+
+
 async def test_wrong_key_is_rejected(autojump_clock):
     stranger = Identity("test", "x", "node", b"other key")
     with pytest.RaisesGroup(
