--- a/src/coltsfootspar/replication/snapshots.py
+++ b/src/coltsfootspar/replication/snapshots.py
@@ -26,7 +26,7 @@
 _ITEM = struct.Struct(">I")
 _FOOT = struct.Struct(">4sQ")
 _FOOT_MARK = b"END."
-_RECORD_BYTES = 256 << 10
+_RECORD_BYTES = 16 << 10
 
 
 @attrs.define(eq=False)
--- a/src/coltsfootspar/wire/replication.py
+++ b/src/coltsfootspar/wire/replication.py
@@ -1,7 +1,7 @@
 """Encoding of commands, of the replicated state and of the replicas' messages."""
 
 import struct
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Any
 
 import attrs
@@ -115,14 +115,15 @@
 # Values and edits
 
 
-def _write_value(value: CellValue | None) -> dict:
+def _fill_value(builder: Any, value: CellValue | None) -> None:
     if value is None:
-        return {"none": None}
-    if isinstance(value, str):
-        return {"text": str(value)}
-    if isinstance(value, int):
-        return {"integer": value}
-    return {"number": float(value)}
+        builder.none = None
+    elif isinstance(value, str):
+        builder.text = str(value)
+    elif isinstance(value, int):
+        builder.integer = value
+    else:
+        builder.number = float(value)
 
 
 def _read_value(value: Any) -> CellValue | None:
@@ -130,16 +131,23 @@
     return None if kind == "none" else getattr(value, kind)
 
 
-def _write_edit(edit: Edit) -> dict:
-    expected = edit.expected_version
-    fields = {
-        "rowKey": edit.row_key,
-        "hasExpectedVersion": expected is not None,
-        "expectedVersion": expected or 0,
-    }
+def _fill_edit(builder: Any, edit: Edit) -> None:
+    builder.rowKey = edit.row_key
+    builder.hasExpectedVersion = edit.expected_version is not None
+    builder.expectedVersion = edit.expected_version or 0
     if isinstance(edit, RowRemoval):
-        return fields | {"isRemoval": True}
-    return fields | {"column": edit.column, "value": _write_value(edit.value)}
+        builder.isRemoval = True
+    else:
+        builder.column = edit.column
+        _fill_value(builder.init("value"), edit.value)
+
+
+def _fill_list(
+    builder: Any, field: str, values: Sequence[Any], fill: Callable[[Any, Any], None]
+) -> None:
+    items = builder.init(field, len(values))
+    for index, value in enumerate(values):
+        fill(items[index], value)
 
 
 def _read_edit(edit: Any) -> Edit:
@@ -154,54 +162,51 @@
 
 def encode_command(command: Command) -> bytes:
     """Encodes a command."""
-    return _schema.Command.new_message(**_write_command(command)).to_bytes()
+    message = _schema.Command.new_message()
+    _fill_command(message, command)
+    return message.to_bytes()
 
 
-def _write_command(command: Command) -> dict:
+def _fill_command(message: Any, command: Command) -> None:
+    # Fields are set one by one: new_message with nested dicts takes ten times as
+    # long.
     match command:
         case EditCells():
-            edits = [_write_edit(edit) for edit in command.edits]
-            fields = {"changeId": command.change_id, "operator": command.operator}
-            return {"editCells": fields | {"edits": edits}}
+            body = message.init("editCells")
+            body.changeId = command.change_id
+            body.operator = command.operator
+            _fill_list(body, "edits", command.edits, _fill_edit)
         case Claim():
-            return {
-                "claim": {
-                    "key": command.key,
-                    "fingerprint": command.fingerprint,
-                    "claimId": command.claim_id,
-                    "nodeId": command.node_id,
-                    "nodeIncarnation": command.node_incarnation,
-                    "lifetimeMs": command.lifetime_ms,
-                    "retentionMs": command.retention_ms,
-                }
-            }
+            _fill_claim(message.init("claim"), command)
         case Finish():
-            return {
-                "finish": {
-                    "key": command.key,
-                    "claimId": command.claim_id,
-                    "answer": command.answer,
-                    "isKept": command.is_kept,
-                }
-            }
+            body = message.init("finish")
+            body.key = command.key
+            body.claimId = command.claim_id
+            body.answer = command.answer
+            body.isKept = command.is_kept
         case Abandon():
-            return {
-                "abandon": {
-                    "key": command.key,
-                    "claimId": command.claim_id,
-                    "mayHaveRun": command.may_have_run,
-                }
-            }
+            body = message.init("abandon")
+            body.key = command.key
+            body.claimId = command.claim_id
+            body.mayHaveRun = command.may_have_run
         case AdmitReplica():
-            return {
-                "admitReplica": {
-                    "replicaId": command.replica_id,
-                    "incarnation": command.incarnation,
-                }
-            }
+            body = message.init("admitReplica")
+            body.replicaId = command.replica_id
+            body.incarnation = command.incarnation
         case Expire():
-            return {"expire": None}
-    return {"noOperation": None}
+            message.expire = None
+        case NoOperation():
+            message.noOperation = None
+
+
+def _fill_claim(body: Any, command: Claim) -> None:
+    body.key = command.key
+    body.fingerprint = command.fingerprint
+    body.claimId = command.claim_id
+    body.nodeId = command.node_id
+    body.nodeIncarnation = command.node_incarnation
+    body.lifetimeMs = command.lifetime_ms
+    body.retentionMs = command.retention_ms
 
 
 def decode_command(data: bytes) -> Command:
@@ -275,14 +280,12 @@
 # Results, history, table, claims
 
 
-def _write_change_result(result: ChangeResult) -> dict:
-    return {
-        "status": result.status.value,
-        "version": result.version,
-        "code": result.code,
-        "message": result.message,
-        "value": _write_value(result.value),
-    }
+def _fill_change_result(builder: Any, result: ChangeResult) -> None:
+    builder.status = result.status.value
+    builder.version = result.version
+    builder.code = result.code
+    builder.message = result.message
+    _fill_value(builder.init("value"), result.value)
 
 
 def _read_change_result(reader: Any) -> ChangeResult:
@@ -295,26 +298,16 @@
     )
 
 
-def _write_claim_result(result: ClaimResult) -> dict:
-    return {
-        "status": result.status.value,
-        "answer": result.answer,
-        "nodeId": result.node_id,
-    }
-
-
 def _read_claim_result(reader: Any) -> ClaimResult:
     return ClaimResult(ClaimStatus(reader.status), bytes(reader.answer), reader.nodeId)
 
 
-def _write_change(change: Change) -> dict:
-    return {
-        "version": change.version,
-        "timeMs": change.time_ms,
-        "changeId": change.change_id,
-        "operator": change.operator,
-        "edits": [_write_edit(edit) for edit in change.edits],
-    }
+def _fill_change(builder: Any, change: Change) -> None:
+    builder.version = change.version
+    builder.timeMs = change.time_ms
+    builder.changeId = change.change_id
+    builder.operator = change.operator
+    _fill_list(builder, "edits", change.edits, _fill_edit)
 
 
 def _read_change(reader: Any) -> Change:
@@ -327,22 +320,19 @@
     )
 
 
-def _write_table(table: Table) -> dict:
-    rows = [
-        {
-            "key": name,
-            "cells": [
-                {
-                    "column": column.name,
-                    "value": _write_value(row.get_value(column.name)),
-                    "version": row.versions[column.name],
-                }
-                for column in COLUMNS
-            ],
-        }
-        for name, row in table.rows.items()
-    ]
-    return {"version": table.version, "rows": rows}
+def _fill_table(builder: Any, table: Table) -> None:
+    builder.version = table.version
+    _fill_list(builder, "rows", tuple(table.rows.values()), _fill_row)
+
+
+def _fill_row(builder: Any, row: Row) -> None:
+    builder.key = row.name
+    cells = builder.init("cells", len(COLUMNS))
+    for index, column in enumerate(COLUMNS):
+        cell = cells[index]
+        cell.column = column.name
+        cell.version = row.versions[column.name]
+        _fill_value(cell.init("value"), row.get_value(column.name))
 
 
 def _read_table(reader: Any) -> Table:
@@ -361,7 +351,9 @@
 
 def encode_table(table: Table) -> bytes:
     """Encodes a table."""
-    return _schema.Table.new_message(**_write_table(table)).to_bytes()
+    message = _schema.Table.new_message()
+    _fill_table(message, table)
+    return message.to_bytes()
 
 
 def decode_table(data: bytes) -> Table:
@@ -372,18 +364,16 @@
     return _decode(_schema.Table, data, _read_table)
 
 
-def _write_record(record: ClaimRecord) -> dict:
-    return {
-        "key": record.key,
-        "status": record.status.value,
-        "fingerprint": record.fingerprint,
-        "claimId": record.claim_id,
-        "nodeId": record.node_id,
-        "nodeIncarnation": record.node_incarnation,
-        "expiresMs": record.expires_ms,
-        "answer": record.answer,
-        "retentionMs": record.retention_ms,
-    }
+def _fill_record(builder: Any, record: ClaimRecord) -> None:
+    builder.key = record.key
+    builder.status = record.status.value
+    builder.fingerprint = record.fingerprint
+    builder.claimId = record.claim_id
+    builder.nodeId = record.node_id
+    builder.nodeIncarnation = record.node_incarnation
+    builder.expiresMs = record.expires_ms
+    builder.answer = record.answer
+    builder.retentionMs = record.retention_ms
 
 
 def _read_record(reader: Any) -> ClaimRecord:
@@ -400,18 +390,22 @@
     )
 
 
+def _fill_kept_result(builder: Any, kept: KeptResult) -> None:
+    builder.changeId = kept[0]
+    _fill_change_result(builder.init("result"), kept[1])
+
+
+def _fill_incarnation(builder: Any, pair: Incarnation) -> None:
+    builder.processId, builder.incarnation = pair
+
+
 _ITEM_WRITERS = {
-    "timeMs": lambda value: value,
-    "table": _write_table,
-    "change": _write_change,
-    "result": lambda kept: {
-        "changeId": kept[0],
-        "result": _write_change_result(kept[1]),
-    },
-    "claim": _write_record,
-    "abandonedClaim": lambda value: value,
-    "replica": lambda pair: {"processId": pair[0], "incarnation": pair[1]},
-    "node": lambda pair: {"processId": pair[0], "incarnation": pair[1]},
+    "table": _fill_table,
+    "change": _fill_change,
+    "result": _fill_kept_result,
+    "claim": _fill_record,
+    "replica": _fill_incarnation,
+    "node": _fill_incarnation,
 }
 _ITEM_READERS = {
     "timeMs": lambda value: value,
@@ -430,8 +424,13 @@
 
     :param kind: name of the union member in ``replication.capnp``.
     """
-    fields = {kind: _ITEM_WRITERS[kind](value)}
-    return _schema.SnapshotItem.new_message(**fields).to_bytes()
+    message = _schema.SnapshotItem.new_message()
+    fill = _ITEM_WRITERS.get(kind)
+    if fill is None:
+        setattr(message, kind, value)
+    else:
+        fill(message.init(kind), value)
+    return message.to_bytes()
 
 
 def decode_snapshot_item(data: bytes) -> tuple[str, Any]:
@@ -616,19 +615,18 @@
 
 def encode_propose_reply(reply: ProposeReply) -> Message:
     """Encodes the reply to a proposal; a kept answer is the body."""
-    fields = {
-        "status": reply.status.value,
-        "leaderId": reply.leader_id,
-        "message": reply.message,
-    }
+    payload = _schema.ProposeReply.new_message()
+    payload.status = reply.status.value
+    payload.leaderId = reply.leader_id
+    payload.message = reply.message
     body = b""
     if isinstance(reply.result, ChangeResult):
-        fields["change"] = _write_change_result(reply.result)
+        _fill_change_result(payload.init("change"), reply.result)
     elif isinstance(reply.result, ClaimResult):
         body = reply.result.answer
-        bare = ClaimResult(reply.result.status, node_id=reply.result.node_id)
-        fields["claim"] = _write_claim_result(bare)
-    payload = _schema.ProposeReply.new_message(**fields)
+        claim = payload.init("claim")
+        claim.status = reply.result.status.value
+        claim.nodeId = reply.result.node_id
     return Message(FrameKind.PROPOSE_REPLY, payload.to_bytes(), body)
 
 
@@ -711,10 +709,9 @@
 def encode_history(reply: HistoryReply) -> Message:
     """Encodes changes; they are the body, which may be large."""
     payload = _schema.HistoryReply.new_message(
-        changes=[_write_change(change) for change in reply.changes],
-        version=reply.version,
-        isCurrent=reply.is_current,
+        version=reply.version, isCurrent=reply.is_current
     )
+    _fill_list(payload, "changes", reply.changes, _fill_change)
     return Message(FrameKind.HISTORY_REPLY, body=payload.to_bytes())
 
 
