--- a/src/coltsfootspar/replication/tests/test_failures.py
+++ b/src/coltsfootspar/replication/tests/test_failures.py
@@ -1,11 +1,15 @@
 """Losses of hosts, disks and links must cost no accepted change."""
 
+import random
+
 import attrs
 import pytest
 import trio
 
 from coltsfootspar.exceptions import NoQuorumError
 from coltsfootspar.replication import ChangeStatus, ReplicaOptions
+from coltsfootspar.replication.commands import Entry, NoOperation
+from coltsfootspar.replication.leadership import create_leadership
 from coltsfootspar.replication.tests.harness import (
     ROW,
     list_contents,
@@ -14,6 +18,8 @@
 )
 from coltsfootspar.table import CellEdit
 from coltsfootspar.testing import LinkState
+from coltsfootspar.timers import create_timer_service
+from coltsfootspar.wire.replication import encode_command
 
 SMALL_SNAPSHOTS = ReplicaOptions(snapshot_entries=20, snapshot_share=0)
 
@@ -379,3 +385,42 @@
         await trio.sleep(30)
         assert cluster.find_leader() == leader
         await check_history(cluster, client, versions)
+
+
+async def test_leader_counts_itself_only_after_its_own_sync(autojump_clock):
+    # One follower alone is no majority, even if it has synced already.
+    async with open_cluster() as cluster:
+        client = cluster.create_client(timeout=20)
+        await make_changes(client, 1)
+        leader = cluster.find_leader()
+        await cluster.crash(next(n for n in cluster.replica_ids if n != leader))
+        cluster.disks[leader].latency = 1.5
+        (version,) = await make_changes(client, 1)
+        assert cluster.replicas[leader].core.log.synced_index >= version
+
+
+async def test_entry_of_an_earlier_term_is_not_committed_by_counting(autojump_clock):
+    # A later leader that lacks the entry could still replace it.
+    async with open_cluster() as cluster:
+        await cluster.wait_leader()
+        await cluster.wait_equal()
+        name = next(n for n in cluster.replica_ids if n != cluster.find_leader())
+        core = cluster.replicas[name].core
+        for other in cluster.replica_ids:
+            cluster.isolate(other)
+        index = core.log.last_index + 1
+        core.log.append([Entry(index, core.term, 0, encode_command(NoOperation()))])
+        await core.log.wait_synced()
+        await core.start_candidacy(core.term + 1)
+        leadership = create_leadership(core, create_timer_service(random.Random(1)))
+        for peer in leadership._peers.values():
+            peer.match_index, peer.is_admitted, peer.incarnation = index, True, 0
+        leadership.advance()
+        assert core.commit_index < index
+        own = Entry(index + 1, core.term, 0, encode_command(NoOperation()))
+        core.log.append([own])
+        await core.log.wait_synced()
+        for peer in leadership._peers.values():
+            peer.match_index = index + 1
+        leadership.advance()
+        assert core.commit_index == index + 1
