Seal the log when it is idle, so that damage of the last record is seen

A flipped bit in the last record looked like a write that a crash had cut short, and the entry was dropped silently. Measured: the new test fails without it.

--- a/src/coltsfootspar/replication/log.py
+++ b/src/coltsfootspar/replication/log.py
@@ -20,6 +20,7 @@
 
 _PREFIX = "log-"
 _MAX_RECORD_BYTES = 4 << 20
+_SEAL_SECONDS = 1.0
 # Entries kept in memory behind a snapshot, so that a replica which is a little
 # behind does not need the snapshot.
 _KEPT_ENTRIES = 1_000
@@ -59,6 +60,7 @@
     _appended: int = 0
     _written: int = 0
     _needs_segment: bool = True
+    _is_sealed: bool = True
     _failure: StorageError | None = None
     _lock: trio.Lock = attrs.field(factory=trio.Lock)
     _has_pending: trio.Event = attrs.field(factory=trio.Event)
@@ -137,7 +139,11 @@
         """
         try:
             while True:
-                await self._has_pending.wait()
+                with trio.move_on_after(_SEAL_SECONDS):
+                    await self._has_pending.wait()
+                if not self._pending:
+                    await self._seal()
+                    await self._has_pending.wait()
                 self._has_pending = trio.Event()
                 while self._pending:
                     await self._write_pending()
@@ -194,6 +200,19 @@
             self._base_index += count
             del self._entries[:count]
 
+    async def _seal(self) -> None:
+        """Writes an empty record behind the last one, which is synced.
+
+        Damage of the last record can then be told from a write that a crash cut
+        short. The empty record needs no sync of its own.
+        """
+        async with self._lock:
+            if self._is_sealed or self._needs_segment or not self._segments:
+                return
+            segment = self._segments[-1]
+            await self._disk.append(segment.name, encode_record(segment.salt, b""))
+            self._is_sealed = True
+
     async def _write_pending(self) -> None:
         async with self._lock:
             await self._remove_replaced()
@@ -207,6 +226,7 @@
             await self._disk.sync(segment.name)
             segment.last_index = max(segment.last_index, batch[-1].index)
             self.syncs += 1
+            self._is_sealed = False
             self._written = max(self._written, target)
             self._raise_synced_index(batch)
         self._wake_waiters()
--- a/src/coltsfootspar/replication/tests/test_storage.py
+++ b/src/coltsfootspar/replication/tests/test_storage.py
@@ -94,6 +94,23 @@
     assert len(await read_entries(disk)) == 3
 
 
+async def test_flipped_bit_in_the_last_record_is_seen_once_the_log_was_idle(
+    autojump_clock,
+):
+    disk = create_disk(1)
+    log = await open_log(disk, 0, 0)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(log.run)
+        log.append(create_entries(1, 1))
+        await log.wait_synced()
+        await trio.sleep(2)
+        nursery.cancel_scope.cancel()
+    assert len(await read_entries(disk)) == 1
+    disk.flip_bit("log-000000000001", FILE_HEADER_BYTES + 20)
+    with pytest.raises(CorruptLogError):
+        await open_log(disk, 0, 0)
+
+
 async def test_replaced_entries_stay_replaced_after_a_restart(autojump_clock):
     disk = create_disk(1)
     replacement = create_entries(3, 1, term=2)
