Sync the header of a log file before its first record

A crash at the first record of a new file could leave a damaged header in front of bytes that were never synced, which was then reported as damage, so that the replica refused to start.

Measured: the new test fails at one of its three crash points without the change and passes with it.

--- a/src/coltsfootspar/replication/log.py
+++ b/src/coltsfootspar/replication/log.py
@@ -249,6 +249,9 @@
             segment = _Segment(f"{_PREFIX}{self._next_segment:012d}", salt)
             self._next_segment += 1
             await self._disk.append(segment.name, header)
+            # Synced before the first record, so that a damaged header in front of
+            # records is no torn write.
+            await self._disk.sync(segment.name)
             await self._disk.sync_folder()
             self._segments.append(segment)
             self._needs_segment = False
--- a/src/coltsfootspar/replication/tests/test_failures.py
+++ b/src/coltsfootspar/replication/tests/test_failures.py
@@ -10,6 +10,7 @@
 from coltsfootspar.replication import ChangeStatus, ReplicaOptions
 from coltsfootspar.replication.commands import Entry, NoOperation
 from coltsfootspar.replication.leadership import create_leadership
+from coltsfootspar.replication.messages import VoteRequest
 from coltsfootspar.replication.tests.harness import (
     ROW,
     list_contents,
@@ -19,7 +20,7 @@
 from coltsfootspar.table import CellEdit
 from coltsfootspar.testing import LinkState
 from coltsfootspar.timers import create_timer_service
-from coltsfootspar.wire.replication import encode_command
+from coltsfootspar.wire import FrameKind, replication as codec
 
 SMALL_SNAPSHOTS = ReplicaOptions(snapshot_entries=20, snapshot_share=0)
 
@@ -409,7 +410,9 @@
         for other in cluster.replica_ids:
             cluster.isolate(other)
         index = core.log.last_index + 1
-        core.log.append([Entry(index, core.term, 0, encode_command(NoOperation()))])
+        core.log.append(
+            [Entry(index, core.term, 0, codec.encode_command(NoOperation()))]
+        )
         await core.log.wait_synced()
         await core.start_candidacy(core.term + 1)
         leadership = create_leadership(core, create_timer_service(random.Random(1)))
@@ -417,10 +420,39 @@
             peer.match_index, peer.is_admitted, peer.incarnation = index, True, 0
         leadership.advance()
         assert core.commit_index < index
-        own = Entry(index + 1, core.term, 0, encode_command(NoOperation()))
+        own = Entry(index + 1, core.term, 0, codec.encode_command(NoOperation()))
         core.log.append([own])
         await core.log.wait_synced()
         for peer in leadership._peers.values():
             peer.match_index = index + 1
         leadership.advance()
         assert core.commit_index == index + 1
+
+
+async def test_vote_is_given_once_in_a_term_and_only_to_a_log_that_suffices(
+    autojump_clock,
+):
+    async with open_cluster() as cluster:
+        await make_changes(cluster.create_client(), 2)
+        await cluster.wait_equal()
+        name = next(n for n in cluster.replica_ids if n != cluster.find_leader())
+        others = [n for n in cluster.replica_ids if n != name]
+        for other in cluster.replica_ids:
+            cluster.isolate(other)
+
+        async def ask(candidate_id, term, lag=0):
+            log = cluster.replicas[name].core.log
+            request = VoteRequest(
+                term, candidate_id, log.last_index - lag, log.last_term
+            )
+            message = codec.encode_vote(FrameKind.VOTE, request)
+            reply = await cluster.replicas[name].handle(candidate_id, message)
+            return codec.decode_vote_reply(reply).is_granted
+
+        assert not await ask(others[0], 50, lag=1)
+        assert await ask(others[0], 50)
+        assert not await ask(others[1], 50)
+        await cluster.restart(name)
+        assert not await ask(others[1], 50)
+        assert await ask(others[0], 50)
+        assert not await ask(others[1], 49)
--- a/src/coltsfootspar/replication/tests/test_storage.py
+++ b/src/coltsfootspar/replication/tests/test_storage.py
@@ -76,6 +76,24 @@
         assert await read_entries(disk) == []
 
 
+@pytest.mark.parametrize("crash_at", [1, 2, 3])
+async def test_crash_at_the_first_record_of_a_file_is_no_damage(
+    crash_at, autojump_clock
+):
+    # Bytes of the header that were not synced came back as zeros.
+    for seed in range(60):
+        disk = create_disk(seed)
+        log = await open_log(disk, 0, 0)
+        disk.crash_at = crash_at
+        log.append(create_entries(1, 2))
+        with pytest.raises(StorageError):
+            await log.run()
+        disk.restart()
+        entries = await read_entries(disk)
+        assert entries in ([], create_entries(1, 2))
+        await write_log(disk, create_entries(len(entries) + 1, 1))
+
+
 async def test_flipped_bit_before_the_tail_is_an_error_that_names_it(autojump_clock):
     disk = create_disk(1)
     await write_log(disk, create_entries(1, 2))
