--- a/src/coltsfootspar/replication/log.py
+++ b/src/coltsfootspar/replication/log.py
@@ -204,13 +204,15 @@
         """Writes an empty record behind the last one, which is synced.
 
         Damage of the last record can then be told from a write that a crash cut
-        short. The empty record needs no sync of its own.
+        short. The empty record is synced too: a later record must not be valid
+        in front of one that a crash can still damage.
         """
         async with self._lock:
             if self._is_sealed or self._needs_segment or not self._segments:
                 return
             segment = self._segments[-1]
             await self._disk.append(segment.name, encode_record(segment.salt, b""))
+            await self._disk.sync(segment.name)
             self._is_sealed = True
 
     async def _write_pending(self) -> None:
