--- a/src/coltsfootspar/client/connection.py
+++ b/src/coltsfootspar/client/connection.py
@@ -148,4 +148,6 @@
         return ConflictError(
             message, value=fields.get("value"), version=fields["version"]
         )
-    return ServerError(message, status=status, code=fields.get("code"))
+    may_have_run = fields.get("may_have_run") is True
+    code = fields.get("code")
+    return ServerError(message, status=status, code=code, may_have_run=may_have_run)
--- a/src/coltsfootspar/client/exits.py
+++ b/src/coltsfootspar/client/exits.py
@@ -37,6 +37,8 @@
             print(f"settings: {problem}", file=sys.stderr)
         return ExitCode.ERROR
     print(f"error: {error} ({error.code})", file=sys.stderr)
+    for note in getattr(error, "__notes__", ()):
+        print(note, file=sys.stderr)
     if isinstance(error, ConflictError):
         return ExitCode.CONFLICT
     if isinstance(error, UnreachableError):
--- a/src/coltsfootspar/client/tables.py
+++ b/src/coltsfootspar/client/tables.py
@@ -19,6 +19,7 @@
 )
 from coltsfootspar.exceptions import (
     ClientError,
+    ServerError,
     TableError,
     UnreachableError,
 )
@@ -325,14 +326,13 @@
     }
     try:
         return connection.post("/table/edits", content)
-    except UnreachableError as error:
-        if not error.may_have_run:
-            raise
-        raise UnreachableError(
-            f"{error}; the change may have been applied, send it again with "
-            f"--change-id {change_id} to learn its result",
-            may_have_run=True,
-        ) from error
+    except (ServerError, UnreachableError) as error:
+        if error.may_have_run:
+            error.add_note(
+                "The change may have been applied. Repeat the command with "
+                f"--change-id {change_id} to learn its result."
+            )
+        raise
 
 
 def _get_service(row: dict[str, Any]) -> str:
--- a/src/coltsfootspar/client/tests/test_client.py
+++ b/src/coltsfootspar/client/tests/test_client.py
@@ -147,6 +147,15 @@
     assert err == "error: some message (some-code)\n"
 
 
+def test_change_without_quorum_can_be_resumed(client, stand_in):
+    content = {"code": "no-quorum", "message": "no majority", "may_have_run": True}
+    stand_in.failure = (503, content)
+    code, _, err = client("table", "set", SPECS, "weight", "50")
+    assert code == 5
+    change_id = stand_in.requests[-1][2]["change_id"]
+    assert f"--change-id {change_id}" in err
+
+
 def test_invalid_value_is_not_sent(client, stand_in):
     code, _, err = client("table", "set", SPECS, "weight", "many")
     assert code == 1
--- a/src/coltsfootspar/exceptions.py
+++ b/src/coltsfootspar/exceptions.py
@@ -217,13 +217,22 @@
     """The admin interface answered with an error.
 
     :param status: HTTP status.
+    :param may_have_run: true when a change may still be applied.
     """
 
     code = "server"
 
-    def __init__(self, message: str, *, status: int, code: str | None = None):
+    def __init__(
+        self,
+        message: str,
+        *,
+        status: int,
+        code: str | None = None,
+        may_have_run: bool = False,
+    ):
         super().__init__(message, code=code)
         self.status = status
+        self.may_have_run = may_have_run
 
 
 class UnreachableError(ClientError):
