--- a/src/coltsfootspar/client/main.py
+++ b/src/coltsfootspar/client/main.py
@@ -56,3 +56,7 @@
 def main() -> None:
     """Runs the command of the command line and ends the process."""
     sys.exit(run(sys.argv[1:]))
+
+
+if __name__ == "__main__":
+    main()
