Test one-way cuts of a member and between data centres; drop an unused field

Indirect probes carried an address that no member used. Data centres whose members are all gone were still listed as unreachable. The holder of the newest table is now the latest one heard of, since an earlier one may be gone.

--- a/src/coltsfootspar/membership/probing.py
+++ b/src/coltsfootspar/membership/probing.py
@@ -127,7 +127,6 @@
                 helper.node_id,
                 sequence=sequence,
                 target=member.node_id,
-                target_address=member.gossip_address,
             )
 
     def _select_next(self) -> Member | None:
--- a/src/coltsfootspar/membership/relays.py
+++ b/src/coltsfootspar/membership/relays.py
@@ -1,5 +1,6 @@
 """Choice of the relays that speak for a data centre."""
 
+import functools
 from collections.abc import Iterable
 
 import xxhash
@@ -28,8 +29,12 @@
 
 def _compute_key(member: Member) -> tuple[bool, int]:
     is_doubtful = member.is_leaving or member.status is not MemberStatus.ALIVE
-    name = f"{member.data_centre}/{member.node_id}"
-    return is_doubtful, xxhash.xxh64_intdigest(name.encode())
+    return is_doubtful, _compute_score(member.data_centre, member.node_id)
+
+
+@functools.lru_cache(maxsize=8192)
+def _compute_score(data_centre: str, node_id: str) -> int:
+    return xxhash.xxh64_intdigest(f"{data_centre}/{node_id}".encode())
 
 
 def is_relay(node_id: str, ranked: list[Member]) -> bool:
--- a/src/coltsfootspar/membership/service.py
+++ b/src/coltsfootspar/membership/service.py
@@ -205,7 +205,8 @@
 
     def _take_common(self, packet: Packet) -> None:
         view = self._view
-        if packet.table_version > view.newest_table.version:
+        # The latest holder of the highest version is the likeliest to answer.
+        if packet.table_version >= view.newest_table.version:
             view.newest_table = HeardVersion(packet.table_version, packet.sender)
         view.apply(packet.records)
         sender = view.roster.get(packet.sender)
--- a/src/coltsfootspar/membership/tests/test_failures.py
+++ b/src/coltsfootspar/membership/tests/test_failures.py
@@ -147,6 +147,50 @@
         assert cluster.count_deaths() == 0
 
 
+async def test_member_that_receives_nothing_gives_nobody_up(
+    open_cluster, autojump_clock
+):
+    """Its suspicions reach the others, but it hears no refutation."""
+    async with open_cluster(seed=23) as cluster:
+        await cluster.grow("a", size=8)
+        (deaf,) = cluster.get_names("a-5")
+        for source in cluster.get_names(*cluster.nodes) - {deaf}:
+            cluster.network.set_link(source, deaf, LinkState(is_cut=True))
+        await trio.sleep(60)
+        rest = {node_id for node_id in cluster.nodes if node_id != "a-5"}
+        for observer in rest:
+            candidates = cluster.nodes[observer].list_candidates("wallet")
+            assert {found.node_id for found in candidates} == rest
+        assert cluster.nodes["a-5"].deaths == 0
+
+
+async def test_one_way_cut_between_data_centres_marks_both(
+    open_cluster, autojump_clock
+):
+    """Calls need both directions, so neither side may use the other."""
+    async with open_cluster(seed=24) as cluster:
+        cluster.network.default = LinkState(delay=0.004, jitter=0.004)
+        await cluster.grow("a", "b", "c", size=6)
+        sources = cluster.get_names(*cluster.select("a"))
+        targets = cluster.get_names(*cluster.select("b"))
+        pairs = [(source, target) for source in sources for target in targets]
+        for pair in pairs:
+            cluster.network.set_link(*pair, LinkState(is_cut=True))
+        await trio.sleep(60)
+        expected = {"a": {"b"}, "b": {"a"}, "c": set()}
+        for node_id, member in cluster.nodes.items():
+            silent = member.list_unreachable_data_centres()
+            assert silent == expected[node_id[0]]
+        # News from the other side still arrives, by way of the third.
+        cluster.nodes["b-1"].announce("specs", 70, 0.0)
+        await trio.sleep(30)
+        assert cluster.nodes["a-1"].get_member("b-1").service == "specs"
+        for pair in pairs:
+            cluster.network.set_link(*pair, cluster.network.default)
+        await cluster.wait_until(cluster.is_converged, 20)
+        assert cluster.count_deaths() == 0
+
+
 async def test_partition_of_a_region_heals_without_deaths(open_cluster, autojump_clock):
     """Changes made on both sides meanwhile must reach the other side."""
     async with open_cluster(seed=20) as cluster:
--- a/src/coltsfootspar/membership/transport.py
+++ b/src/coltsfootspar/membership/transport.py
@@ -14,6 +14,7 @@
 from coltsfootspar.wire import Address, FrameKind
 from coltsfootspar.wire.membership import (
     MemberRecord,
+    MemberStatus,
     Packet,
     open_packet,
     seal_packet,
@@ -141,7 +142,7 @@
 
     def _select_doubts(self, node_id: str) -> list[MemberRecord]:
         member: Member | None = self.view.roster.get(node_id)
-        if member is None or member.status == 0:
+        if member is None or member.status is MemberStatus.ALIVE:
             return []
         return [member.make_record(trio.current_time(), is_full=False)]
 
--- a/src/coltsfootspar/membership/view.py
+++ b/src/coltsfootspar/membership/view.py
@@ -248,7 +248,9 @@
         self._accept(attrs.evolve(member, status=status, status_since=now))
 
     def _mark_data_centres(self, now: float) -> None:
+        # One whose members are all gone is no longer part of the deployment.
         silent = self.contacts.find_silent(now, self.limits.unreachable)
+        silent &= frozenset(self.list_other_data_centres())
         changed = silent ^ self._silent
         if not changed:
             return
--- a/src/coltsfootspar/wire/membership.capnp
+++ b/src/coltsfootspar/wire/membership.capnp
@@ -25,10 +25,9 @@
   sender @0 :Text;
   sequence @1 :UInt32;
   target @2 :Text;
-  targetAddress @3 :Text;
-  tableVersion @4 :UInt64;
-  contacts @5 :List(Contact);
-  records @6 :List(Record);
-  digest @7 :Data;
-  wantsReply @8 :Bool;
+  tableVersion @3 :UInt64;
+  contacts @4 :List(Contact);
+  records @5 :List(Record);
+  digest @6 :Data;
+  wantsReply @7 :Bool;
 }
--- a/src/coltsfootspar/wire/membership.py
+++ b/src/coltsfootspar/wire/membership.py
@@ -104,7 +104,6 @@
     :param sender: id of the member that sent it.
     :param sequence: joins an acknowledgement to its probe.
     :param target: id of the member that is probed.
-    :param target_address: gossip address of that member, for indirect probes.
     :param table_version: version of the table that the sender has applied.
     :param contacts: data centres that answered the sender's data centre.
     :param digest: hashes of the sender's member list, or empty.
@@ -115,7 +114,6 @@
     sender: str
     sequence: int = 0
     target: str = ""
-    target_address: Address | None = None
     table_version: int = 0
     contacts: tuple[Contact, ...] = ()
     records: tuple[MemberRecord, ...] = ()
@@ -136,8 +134,6 @@
     )
     if packet.target:
         message.target = packet.target
-    if packet.target_address is not None:
-        message.targetAddress = str(packet.target_address)
     if packet.contacts:
         message.contacts = [_write_contact(contact) for contact in packet.contacts]
     if packet.records:
@@ -223,13 +219,11 @@
 
 
 def _read_packet(kind: FrameKind, message) -> Packet:
-    address = message.targetAddress
     return Packet(
         kind=kind,
         sender=message.sender,
         sequence=message.sequence,
         target=message.target,
-        target_address=_parse_address(address) if address else None,
         table_version=message.tableVersion,
         contacts=tuple(
             Contact(contact.dataCentre, contact.ageMilliseconds / 1e3)
