--- a/src/coltsfootspar/wire/calls.py
+++ b/src/coltsfootspar/wire/calls.py
@@ -27,25 +27,24 @@
     Clocks of two processes are not comparable, a remaining time is.
     """
     context = request.context
-    remaining = max(0, int(context.compute_remaining() * 1e6))
-    call = _schema.Call.new_message(
-        service=request.service,
-        method=request.method,
-        path=request.path,
-        headers=[{"name": name, "value": value} for name, value in request.headers],
-        attempt=request.attempt,
-        isSpilled=request.is_spilled,
-        traceId=context.trace_id,
-        parentSpanId=context.parent_span_id,
-        remainingMicroseconds=remaining,
-        importance=context.priority.importance,
-        bucket=context.priority.bucket,
-        allowance=context.allowance,
-        depth=context.depth,
-        isClientRetry=context.is_client_retry,
-        rowKey=context.row_key,
-        entryId=context.entry_id,
-    )
+    call = _schema.Call.new_message()
+    # Setting fields one by one takes a quarter of the time of a dict.
+    call.service = request.service
+    call.method = request.method
+    call.path = request.path
+    call.attempt = request.attempt
+    call.isSpilled = request.is_spilled
+    call.traceId = context.trace_id
+    call.parentSpanId = context.parent_span_id
+    call.remainingMicroseconds = max(0, int(context.compute_remaining() * 1e6))
+    call.importance = context.priority.importance
+    call.bucket = context.priority.bucket
+    call.allowance = context.allowance
+    call.depth = context.depth
+    call.isClientRetry = context.is_client_retry
+    call.rowKey = context.row_key
+    call.entryId = context.entry_id
+    _write_headers(call, request.headers)
     if context.idempotency_key is not None:
         call.idempotencyKey = context.idempotency_key
     return Message(FrameKind.CALL, call.to_bytes(), request.body)
@@ -86,15 +85,16 @@
 
 def encode_reply(reply: CallReply) -> Message:
     """Encodes a reply."""
-    message = _schema.Reply.new_message(
-        status=reply.status,
-        headers=[{"name": name, "value": value} for name, value in reply.headers],
-        outcome=reply.outcome.value,
-        unusedAllowance=reply.unused_allowance,
-        signals=[_write_signal(signal) for signal in reply.signals],
-        reached=list(reply.reached),
-        serviceMicroseconds=int(reply.service_seconds * 1e6),
-    )
+    message = _schema.Reply.new_message()
+    message.status = reply.status
+    message.outcome = reply.outcome.value
+    message.unusedAllowance = reply.unused_allowance
+    message.serviceMicroseconds = int(reply.service_seconds * 1e6)
+    _write_headers(message, reply.headers)
+    if reply.signals:
+        message.signals = [_write_signal(signal) for signal in reply.signals]
+    if reply.reached:
+        message.reached = list(reply.reached)
     if reply.refusal is not None:
         message.refusalCode = reply.refusal.code
         message.retryAfterMilliseconds = int(reply.refusal.retry_after * 1e3)
@@ -131,6 +131,13 @@
         raise FrameError("reply has a malformed field") from error
 
 
+def _write_headers(message, headers: tuple[tuple[bytes, bytes], ...]) -> None:
+    entries = message.init("headers", len(headers))
+    for entry, (name, value) in zip(entries, headers, strict=True):
+        entry.name = name
+        entry.value = value
+
+
 def _read_headers(headers) -> tuple[tuple[bytes, bytes], ...]:
     return tuple((bytes(header.name), bytes(header.value)) for header in headers)
 
