Count rejected peers and serve metrics of replicas

Cause: a refused handshake or a malformed frame left only a log line, and replicas had no metrics. Change: an error counter for peer connections; gauges for role, term, commit index, table version, claims and admission of a replica.

--- a/src/coltsfootspar/replica/program.py
+++ b/src/coltsfootspar/replica/program.py
@@ -7,8 +7,9 @@
 import trio
 from absl import logging
 
-from coltsfootspar.admin import create_admin_router
+from coltsfootspar.admin import RawAnswer, create_admin_router
 from coltsfootspar.admin.replicated import TableSource, add_table_paths
+from coltsfootspar.replica.metrics import METRICS_TYPE, create_replica_metrics
 from coltsfootspar.replica.service import ReplicaService, create_replica_service
 from coltsfootspar.replication import (
     create_local_link,
@@ -133,7 +134,13 @@
         async def check_health(request) -> dict:
             return {"status": "ok", "table_version": replica.read_table().version}
 
+        metrics = create_replica_metrics()
+
+        async def show_metrics(request) -> RawAnswer:
+            return RawAnswer(metrics.render(replica.status()), METRICS_TYPE)
+
         router = create_admin_router()
+        router.add("GET", "/metrics", show_metrics)
         add_table_paths(router, TableSource(client.read_table, wait), client)
         router.add("GET", "/status", show_status)
         router.add("GET", "/health", check_health)
--- a/src/coltsfootspar/routing/listeners.py
+++ b/src/coltsfootspar/routing/listeners.py
@@ -1,6 +1,7 @@
 """Accepts the connections of other nodes."""
 
 import ssl
+from collections.abc import Callable
 
 import attrs
 import trio
@@ -32,6 +33,8 @@
 MAX_CONNECTIONS = 2048
 DRAIN_POLL = 0.02
 
+ErrorCounter = Callable[[str], None]
+
 
 @attrs.define(eq=False)
 class PeerServer:
@@ -48,6 +51,7 @@
     _ssl_context: ssl.SSLContext | None
     _limits: ConnectionLimits
     _max_connections: int
+    _count_error: ErrorCounter
     _accepted: int = 0
     _connections: set[Connection] = attrs.field(factory=set)
 
@@ -71,6 +75,7 @@
         """Serves one accepted stream until it ends."""
         if self._accepted >= self._max_connections:
             logging.warning("Connection refused: %d are open", self._accepted)
+            self._count_error("too-many-connections")
             await trio.aclose_forcefully(stream)
             return
         self._accepted += 1
@@ -78,6 +83,7 @@
             await self._serve(stream)
         except HandshakeError as error:
             logging.warning("Connection rejected: %s", error)
+            self._count_error(error.code)
         except Exception:
             # A faulty peer must not end the connections of all others.
             logging.exception("Connection failed")
@@ -102,6 +108,8 @@
             await connection.run()
         finally:
             self._connections.discard(connection)
+            if connection.failure is not None:
+                self._count_error(connection.failure.code)
 
     async def _handle(self, message: Message, peer: Peer) -> Message:
         if message.kind is FrameKind.CALL:
@@ -124,6 +132,7 @@
     ssl_context: ssl.SSLContext | None = None,
     limits: ConnectionLimits | None = None,
     max_connections: int = MAX_CONNECTIONS,
+    count_error: ErrorCounter = lambda code: None,
     task_status: trio.TaskStatus[PeerServer] = trio.TASK_STATUS_IGNORED,
 ) -> None:
     """Serves the calls of other nodes until cancelled.
@@ -140,6 +149,8 @@
     :param ssl_context: wraps the connections in TLS.
     :param limits: limits of each connection.
     :param max_connections: further connections are closed at once.
+    :param count_error: called with an error code for each connection that is
+        refused or ended for what the peer sent.
     :raises OSError: when the address cannot be listened on.
     """
     listeners = await trio.open_tcp_listeners(address.port, host=address.host)
@@ -153,6 +164,7 @@
         ssl_context,
         limits or ConnectionLimits(),
         max_connections,
+        count_error,
     )
     task_status.started(server)
     await trio.serve_listeners(server.accept, listeners)
--- a/src/coltsfootspar/wire/connection.py
+++ b/src/coltsfootspar/wire/connection.py
@@ -81,6 +81,7 @@
     Both ends may send requests. :meth:`run` has to be running.
 
     :param peer: the other end.
+    :param failure: set when the peer sent something malformed.
     """
 
     peer: Peer
@@ -95,6 +96,7 @@
     _partials: dict[tuple[int, bool], _Partial] = attrs.field(factory=dict)
     _serving: dict[int, trio.CancelScope] = attrs.field(factory=dict)
     _last_received: float = attrs.field(factory=trio.current_time)
+    failure: FrameError | None = None
     _closed: bool = False
 
     @property
@@ -240,6 +242,7 @@
             await self._read_stream(nursery)
         except FrameError as error:
             logging.warning("Closing connection to %s: %s", self.peer, error)
+            self.failure = error
             await self.close(str(error))
 
     async def _read_stream(self, nursery: trio.Nursery) -> None:
