Run the tests of the replicated state in a fixed task order

trio chooses the order of ready tasks at random, so a schedule with a fixed seed could pass and fail.

--- /dev/null
+++ b/src/coltsfootspar/claims/tests/conftest.py
@@ -0,0 +1,10 @@
+"""Fixed task order."""
+
+import pytest
+
+from coltsfootspar.replication.tests.harness import fix_task_order
+
+
+@pytest.fixture(autouse=True)
+def task_order(monkeypatch, request):
+    fix_task_order(monkeypatch, request.node.name)
--- a/src/coltsfootspar/replication/tests/harness.py
+++ b/src/coltsfootspar/replication/tests/harness.py
@@ -20,6 +20,13 @@
 ROW = "specs GET /specs/{id}"
 
 
+def fix_task_order(monkeypatch, name):
+    """Makes trio run tasks in an order that depends on the test's name only."""
+    scheduler = trio._core._run
+    monkeypatch.setattr(scheduler, "_ALLOW_DETERMINISTIC_SCHEDULING", True)
+    scheduler._r.seed(name)
+
+
 class NamedLink:
     """Link of one process on the fake network."""
 
