--- a/src/coltsfootspar/replication/tests/test_histories.py
+++ b/src/coltsfootspar/replication/tests/test_histories.py
@@ -262,6 +262,8 @@
             table = await client.read_table()
             await trio.sleep(8)
             readers.cancel_scope.cancel()
+        # Claims may have expired meanwhile, which takes further entries.
+        await cluster.wait_equal()
         assert final.result is not None and not cluster.errors
         schedule.check(changes, table)
         contents = [list_contents(r.core.state) for r in cluster.replicas.values()]
