Count a replica as current only when it has applied all committed entries

A replica with a new disk that had heard the leader but held no table yet answered reads as current, so a node that started then could take an empty table. Changes that exceed a command's size are refused before they are sent, and long lists of the history end early to fit into a message.

--- a/src/coltsfootspar/replication/client.py
+++ b/src/coltsfootspar/replication/client.py
@@ -13,6 +13,7 @@
     FrameError,
     LinkError,
     NoQuorumError,
+    ReplicationError,
 )
 from coltsfootspar.replication.commands import (
     Abandon,
@@ -26,6 +27,7 @@
     Result,
 )
 from coltsfootspar.replication.interfaces import ReplicaLink
+from coltsfootspar.replication.leadership import MAX_COMMAND_BYTES
 from coltsfootspar.replication.messages import (
     HistoryReply,
     ProposeReply,
@@ -84,6 +86,7 @@
             :exc:`NoQuorumError`; it then gets the result of the first.
         :param timeout: time for all tries, seconds.
         :raises TableError: when an edit is not valid.
+        :raises ReplicationError: when the change is too large.
         :raises NoQuorumError: when no majority answered.
         """
         change_id = change_id or create_id(self._random)
@@ -274,7 +277,7 @@
         raise NoQuorumError("no replica answered", may_have_run=False)
 
     async def _propose(self, command: Command, timeout: float | None) -> Result:
-        proposal = _Proposal(codec.encode_propose(command))
+        proposal = _Proposal(_encode_proposal(command))
         with trio.move_on_after(self._get_timeout(timeout)):
             return await self._send_until_committed(proposal)
         raise NoQuorumError(
@@ -356,6 +359,17 @@
             raise LinkError(str(error), may_have_run=True, code=error.code) from error
 
 
+def _encode_proposal(command: Command) -> Message:
+    message = codec.encode_propose(command)
+    size = len(message.body)
+    if size > MAX_COMMAND_BYTES:
+        raise ReplicationError(
+            f"command of {size} bytes exceeds {MAX_COMMAND_BYTES}; split the change",
+            code="command-size",
+        )
+    return message
+
+
 def create_id(source: random.Random) -> str:
     """Creates a random id for a change or a claim."""
     return str(uuid.UUID(int=source.getrandbits(128), version=4))
--- a/src/coltsfootspar/replication/core.py
+++ b/src/coltsfootspar/replication/core.py
@@ -87,6 +87,8 @@
 
     :param applied_bytes: size of the entries applied since the last snapshot.
     :param leader_contact: trio clock at the last message of a leader, seconds.
+    :param caught_up: trio clock when the replica had last applied all that the
+        leader had committed, seconds.
     :param timer_start: trio clock from which the election timeout counts.
     """
 
@@ -106,6 +108,7 @@
     role: Role = Role.FOLLOWER
     leader_id: str | None = None
     leader_contact: float = -float("inf")
+    caught_up: float = -float("inf")
     timer_start: float = attrs.field(factory=trio.current_time)
     leader_term: LeaderTerm | None = None
     failure: ColtsfootsparError | None = None
@@ -138,12 +141,12 @@
 
     @property
     def is_current(self) -> bool:
-        """False when the replica may be cut off from the leader."""
+        """False when the replica may be cut off from the leader, or behind."""
         if self.role is Role.LEADER:
             # Until an entry of its own term is committed, a new leader may not
             # know which of the earlier ones are.
             return self.state.term == self.term
-        age = trio.current_time() - self.leader_contact
+        age = trio.current_time() - self.caught_up
         return age < self.options.election_maximum
 
     def fail(self, error: ColtsfootsparError) -> None:
--- a/src/coltsfootspar/replication/following.py
+++ b/src/coltsfootspar/replication/following.py
@@ -30,6 +30,8 @@
     match = request.previous_index + len(request.entries)
     core.commit(min(request.commit_index, match))
     core.check_failure()
+    if request.commit_index <= match:
+        core.caught_up = trio.current_time()
     await _complete_admission(core, request)
     return _create_reply(core, match_index=match)
 
--- a/src/coltsfootspar/replication/tablestate.py
+++ b/src/coltsfootspar/replication/tablestate.py
@@ -16,6 +16,7 @@
 __all__ = ["KEPT_CHANGES", "TableState"]
 
 KEPT_CHANGES = 10_000
+_MAX_LISTED_EDITS = 20_000
 
 
 @attrs.define(eq=False)
@@ -56,14 +57,18 @@
     def list_history(self, limit: int, before_version: int = 0) -> list[Change]:
         """Lists changes, the latest first.
 
+        A list with very many edits ends early, so that it fits into a message.
+
         :param before_version: only older changes; 0 for the latest.
         """
         changes = []
+        edits = 0
         for change in reversed(self.history):
-            if len(changes) >= limit:
+            if len(changes) >= limit or edits >= _MAX_LISTED_EDITS:
                 break
             if before_version == 0 or change.version < before_version:
                 changes.append(change)
+                edits += len(change.edits)
         return changes
 
     def _apply(self, command: EditCells, index: int, time_ms: int) -> ChangeResult:
--- a/src/coltsfootspar/replication/tests/test_failures.py
+++ b/src/coltsfootspar/replication/tests/test_failures.py
@@ -6,7 +6,7 @@
 import pytest
 import trio
 
-from coltsfootspar.exceptions import NoQuorumError
+from coltsfootspar.exceptions import NoQuorumError, ReplicationError
 from coltsfootspar.replication import ChangeStatus, ReplicaOptions
 from coltsfootspar.replication.commands import Entry, NoOperation
 from coltsfootspar.replication.leadership import create_leadership
@@ -345,6 +345,31 @@
         assert versions == sorted(set(versions))
 
 
+async def test_replica_that_is_catching_up_is_not_read_as_current(autojump_clock):
+    async with open_cluster(options=SMALL_SNAPSHOTS) as cluster:
+        client = cluster.create_client()
+        versions = await make_changes(client, 60)
+        lost = next(n for n in cluster.replica_ids if n != cluster.find_leader())
+        order = [lost, *(n for n in cluster.replica_ids if n != lost)]
+        cluster.network.default = LinkState(delay=0.02)
+        await cluster.replace_disk(lost)
+        while not cluster.replicas[lost].status().is_current:
+            # A new node has seen no version that would tell it of an old table.
+            table = await cluster.create_client("new", order=order).read_table()
+            assert table.version == versions[-1]
+        assert cluster.replicas[lost].read_table().version == versions[-1]
+
+
+async def test_change_that_is_too_large_is_refused_before_it_is_sent(autojump_clock):
+    async with open_cluster(1) as cluster:
+        client = cluster.create_client()
+        edits = set_retries(1) * 70_000
+        with pytest.raises(ReplicationError) as caught:
+            await client.edit_cells(edits, "ana")
+        assert caught.value.code == "command-size"
+        await make_changes(client, 1)
+
+
 async def test_reads_are_served_without_a_majority(autojump_clock):
     async with open_cluster() as cluster:
         client = cluster.create_client()
