--- a/src/coltsfootspar/claims/answers.py
+++ b/src/coltsfootspar/claims/answers.py
@@ -9,10 +9,12 @@
 from coltsfootspar.exceptions import FrameError
 from coltsfootspar.wire import FrameKind, Message, decode_reply, encode_reply
 
-__all__ = ["compute_fingerprint", "decode_answer", "encode_answer"]
+__all__ = ["compute_fingerprint", "create_key", "decode_answer", "encode_answer"]
 
 _LENGTH = struct.Struct(">I")
 _FINGERPRINT_BYTES = 16
+_KEY_BYTES = 32
+_MAX_KEY_CHARACTERS = 128
 
 
 def encode_answer(reply: CallReply) -> bytes:
@@ -37,6 +39,17 @@
     return attrs.evolve(reply, unused_allowance=allowance)
 
 
+def create_key(service: str, idempotency_key: str) -> str:
+    """Creates the key of a claim; a long idempotency key is hashed.
+
+    Each kept key takes memory on all replicas.
+    """
+    if len(idempotency_key) > _MAX_KEY_CHARACTERS:
+        digest = hashlib.blake2b(idempotency_key.encode(), digest_size=_KEY_BYTES)
+        return f"{service}/hash/{digest.hexdigest()}"
+    return f"{service}/key/{idempotency_key}"
+
+
 def compute_fingerprint(request: CallRequest) -> bytes:
     """Hashes what a request asks for: method, path and body."""
     digest = hashlib.blake2b(digest_size=_FINGERPRINT_BYTES)
--- a/src/coltsfootspar/claims/executor.py
+++ b/src/coltsfootspar/claims/executor.py
@@ -10,6 +10,7 @@
 from coltsfootspar.calls import CallReply, CallRequest, Outcome
 from coltsfootspar.claims.answers import (
     compute_fingerprint,
+    create_key,
     decode_answer,
     encode_answer,
 )
@@ -86,7 +87,7 @@
                 may_have_run=False,
                 code="no-idempotency-key",
             )
-        claim, result = await self._claim(request, f"{request.service}/{key}")
+        claim, result = await self._claim(request, create_key(request.service, key))
         if result.status is ClaimStatus.GRANTED:
             return await self._run_claimed(request, claim, run)
         if result.status is ClaimStatus.FINISHED:
--- a/src/coltsfootspar/claims/tests/test_executor.py
+++ b/src/coltsfootspar/claims/tests/test_executor.py
@@ -293,8 +293,19 @@
             await node.execute(create_request(), ROW, Backend().run)
             client = cluster.create_client()
             await trio.sleep(50)
-            kept = await client.look_up("payouts/k1")
+            kept = await client.look_up("payouts/key/k1")
             await trio.sleep(15)
-            gone = await client.look_up("payouts/k1")
+            gone = await client.look_up("payouts/key/k1")
         assert kept.status is ClaimStatus.FINISHED
         assert gone.status is ClaimStatus.ABSENT
+
+
+async def test_long_keys_are_told_apart_and_take_little_space(autojump_clock):
+    async with open_cluster(1) as cluster, open_node(cluster) as node:
+        backend = Backend()
+        long = "x" * 10_000
+        for key in (long, long + "y", long):
+            await node.execute(create_request(key), ROW, backend.run)
+        assert backend.runs == 2
+        records = cluster.replicas["r1"].core.state.claims.records
+        assert max(map(len, records)) < 200
