--- a/src/coltsfootspar/wire/connection.py
+++ b/src/coltsfootspar/wire/connection.py
@@ -95,6 +95,7 @@
     _pending: dict[int, _Pending] = attrs.field(factory=dict)
     _partials: dict[tuple[int, bool], _Partial] = attrs.field(factory=dict)
     _serving: dict[int, trio.CancelScope] = attrs.field(factory=dict)
+    _requested: trio.Event = attrs.field(factory=trio.Event)
     _last_received: float = attrs.field(factory=trio.current_time)
     failure: FrameError | None = None
     _closed: bool = False
@@ -127,6 +128,7 @@
         correlation = next(self._ids) & 0xFFFFFFFF
         pending = _Pending()
         self._pending[correlation] = pending
+        self._requested.set()
         try:
             await self._send_message(message, FrameFlag.NONE, correlation, pending)
             await pending.done.wait()
@@ -219,7 +221,7 @@
         limits = self._limits
         unanswered_ping: float | None = None
         while not self._closed:
-            await trio.sleep(limits.heartbeat)
+            await self._pause_heartbeats(is_waiting=unanswered_ping is not None)
             now = trio.current_time()
             if unanswered_ping is not None and self._last_received >= unanswered_ping:
                 unanswered_ping = None
@@ -232,6 +234,16 @@
                 unanswered_ping = now
                 await self._send_control(FrameKind.PING, 0)
 
+    async def _pause_heartbeats(self, *, is_waiting: bool) -> None:
+        limits = self._limits
+        if is_waiting or self._pending or self._requested.is_set():
+            self._requested = trio.Event()
+            await trio.sleep(limits.heartbeat)
+            return
+        # Hundreds of idle connections must not wake the process twice a second.
+        with trio.move_on_after(limits.idle_heartbeat):
+            await self._requested.wait()
+
     async def _send_control(self, kind: FrameKind, correlation: int) -> None:
         with contextlib.suppress(LinkError):
             frame = encode_frame(kind, FrameFlag.NONE, correlation)
--- a/src/coltsfootspar/wire/tests/test_connection.py
+++ b/src/coltsfootspar/wire/tests/test_connection.py
@@ -8,6 +8,7 @@
 
 from coltsfootspar.exceptions import FrameError, HandshakeError, LinkError
 from coltsfootspar.wire import (
+    Connection,
     FrameKind,
     Identity,
     Message,
@@ -198,3 +199,21 @@
         changed[position] ^= 1
         with pytest.raises(FrameError):
             open_datagram(bytes(changed), b"key")
+
+
+async def test_idle_connection_seldom_wakes_the_process(autojump_clock, monkeypatch):
+    """Guards against a cost that grows with the number of open connections."""
+    async with open_pair() as (dialer, _, _):
+        await dialer.request(Message(FrameKind.CALL, b"0"))
+        await trio.sleep(5)
+        pauses = []
+        pause = Connection._pause_heartbeats
+
+        async def count_pause(connection, **options):
+            pauses.append(connection is dialer)
+            await pause(connection, **options)
+
+        monkeypatch.setattr(Connection, "_pause_heartbeats", count_pause)
+        await trio.sleep(100)
+        assert 10 < sum(pauses) <= 50
+        assert not dialer.is_closed
