--- /dev/null
+++ b/src/coltsfootspar/bench/main.py
@@ -0,0 +1,109 @@
+"""Command line of ``coltsfootspar-bench``."""
+
+import sys
+from pathlib import Path
+
+import attrs
+import defopt
+import orjson
+from rich.console import Console
+from rich.table import Table
+
+from coltsfootspar.bench.compare import Report, compare_policies, measure_policy
+from coltsfootspar.bench.loading import load_scenario
+from coltsfootspar.bench.policies import PolicyName
+from coltsfootspar.bench.scenario import Scenario
+from coltsfootspar.exceptions import ColtsfootsparError
+
+__all__ = ["compare", "main", "run"]
+
+
+def run(
+    scenario: Path,
+    *,
+    seed: int | None = None,
+    policy: PolicyName = PolicyName.COLTSFOOTSPAR,
+    json: bool = False,
+) -> None:
+    """Runs a scenario under one policy and prints its measures.
+
+    :param scenario: scenario file.
+    :param seed: seed of all draws; the scenario's own when omitted.
+    :param policy: policy to run.
+    :param json: print JSON.
+    """
+    loaded = load_scenario(scenario)
+    report, _ = measure_policy(loaded, policy, seed)
+    _print_reports(loaded, seed, {policy: report}, as_json=json)
+
+
+def compare(
+    scenario: Path,
+    *,
+    seed: int | None = None,
+    json: bool = False,
+    plot: Path | None = None,
+) -> None:
+    """Runs a scenario under all policies and prints their measures.
+
+    :param scenario: scenario file.
+    :param seed: seed of all draws; the scenario's own when omitted.
+    :param json: print JSON.
+    :param plot: file for a plot of goodput and latency over time.
+    """
+    loaded = load_scenario(scenario)
+    results = compare_policies(loaded, seed)
+    reports = {policy: report for policy, (report, _) in results.items()}
+    _print_reports(loaded, seed, reports, as_json=json)
+    if plot is not None:
+        from coltsfootspar.bench.plots import plot_journals  # noqa: PLC0415
+
+        journals = {policy: journal for policy, (_, journal) in results.items()}
+        plot_journals(loaded, journals, plot)
+
+
+def main(argv: list[str] | None = None) -> None:
+    """Entry point."""
+    try:
+        defopt.run([run, compare], argv=argv, cli_options="all")
+    except ColtsfootsparError as error:
+        print(f"{error.code}: {error}", file=sys.stderr)
+        raise SystemExit(1) from error
+
+
+def _print_reports(
+    scenario: Scenario,
+    seed: int | None,
+    reports: dict[PolicyName, Report],
+    *,
+    as_json: bool,
+) -> None:
+    if as_json:
+        data = {
+            "scenario": scenario.name,
+            "seed": scenario.seed if seed is None else seed,
+            **{policy.value: attrs.asdict(r) for policy, r in reports.items()},
+        }
+        print(orjson.dumps(data, option=orjson.OPT_INDENT_2).decode())
+        return
+    table = Table("measure", *(policy.value for policy in reports))
+    rows = {policy: _flatten(report) for policy, report in reports.items()}
+    for key in next(iter(rows.values())):
+        table.add_row(key, *(_format(values[key]) for values in rows.values()))
+    Console().print(table)
+
+
+def _flatten(report: Report) -> dict[str, object]:
+    values = attrs.asdict(report)
+    broken = values.pop("broken_invariants")
+    return values | {f"broken: {name}": count for name, count in broken.items()}
+
+
+def _format(value: object) -> str:
+    if value is None:
+        return "–"
+    return f"{value:.3f}" if isinstance(value, float) else str(value)
+
+
+if __name__ == "__main__":
+    main()
