--- a/src/coltsfootspar/bench/clients.py
+++ b/src/coltsfootspar/bench/clients.py
@@ -8,11 +8,10 @@
 from coltsfootspar.bench.journal import Attempt, RequestRecord
 from coltsfootspar.bench.load import Arrival
 from coltsfootspar.bench.nodes import BenchNode, Fleet
-from coltsfootspar.calls import CallReply, Outcome
+from coltsfootspar.calls import CallReply, Outcome, find_header
 from coltsfootspar.exceptions import LinkError
 from coltsfootspar.node.interfaces import IncomingCall
 from coltsfootspar.node.replies import ERROR_HEADER
-from coltsfootspar.calls import find_header
 
 __all__ = ["ClientGroup", "create_clients"]
 
--- a/src/coltsfootspar/bench/main.py
+++ b/src/coltsfootspar/bench/main.py
@@ -65,7 +65,7 @@
 def main(argv: list[str] | None = None) -> None:
     """Entry point."""
     try:
-        defopt.run([run, compare], argv=argv, cli_options="all")
+        defopt.run([run, compare], argv=argv)
     except ColtsfootsparError as error:
         print(f"{error.code}: {error}", file=sys.stderr)
         raise SystemExit(1) from error
@@ -101,7 +101,7 @@
 
 def _format(value: object) -> str:
     if value is None:
-        return "–"
+        return "-"
     return f"{value:.3f}" if isinstance(value, float) else str(value)
 
 
--- a/src/coltsfootspar/bench/nodes.py
+++ b/src/coltsfootspar/bench/nodes.py
@@ -170,12 +170,13 @@
             service=service,
             region=self.scenario.region,
             data_centre=data_centre,
+            slots=size.slots,
+            cold_start=size.cold_start_ms / 1e3,
             directory=DirectoryView(self.members, data_centre),
             link=_PeerLink(self, node_id, data_centre),
             source=random.Random(seed),
         )
         parts = self._create_parts(site)
-        parts.admission.update_slots(size.slots, size.cold_start_ms / 1e3)
         claim_seconds = _CLAIM_HOPS * self.scenario.delays.between_ms / 1e3
         return create_pipeline(
             node_id=node_id,
--- a/src/coltsfootspar/bench/observers.py
+++ b/src/coltsfootspar/bench/observers.py
@@ -52,9 +52,9 @@
                 )
             )
 
-    def get_signals(self) -> tuple[OverloadSignal, ...]:
+    def get_signals(self, row: Row | None = None) -> tuple[OverloadSignal, ...]:
         """Returns what this service refuses at present."""
-        return self._controller.get_signals()
+        return self._controller.get_signals(row)
 
     def update_slots(self, slots: int, cold_start: float) -> None:
         """Takes an announcement of the backend server."""
@@ -89,3 +89,7 @@
                         code,
                     )
                 )
+
+    def get_signals(self, service: str) -> tuple[OverloadSignal, ...]:
+        """Returns what is known to be refused by a service and its rows."""
+        return self._gate.get_signals(service)
--- a/src/coltsfootspar/bench/policies.py
+++ b/src/coltsfootspar/bench/policies.py
@@ -36,6 +36,8 @@
 class NodeSite:
     """What the parts of a node need to know about it.
 
+    :param slots: announced slots of its backend server.
+    :param cold_start: time that the backend server needs to warm up, seconds.
     :param source: random numbers of this node.
     """
 
@@ -43,6 +45,8 @@
     service: str
     region: str
     data_centre: str
+    slots: int
+    cold_start: float
     directory: Directory
     link: PeerLink
     source: random.Random
@@ -64,12 +68,14 @@
     """Creates the parts of a node."""
     if policy is PolicyName.BASELINE:
         return Parts(
-            create_baseline_controller(),
+            create_baseline_controller(site.slots),
             create_baseline_gate(),
             create_baseline_router(site.directory, site.link, site.source),
         )
     return Parts(
-        create_admission_controller(site.service),
+        create_admission_controller(
+            service=site.service, slots=site.slots, cold_start=site.cold_start
+        ),
         create_entry_gate(),
         create_router(
             site.node_id,
--- a/src/coltsfootspar/bench/scenario.py
+++ b/src/coltsfootspar/bench/scenario.py
@@ -5,7 +5,8 @@
 
 import attrs
 
-from coltsfootspar.table import Row, create_row, parse_row_key
+from coltsfootspar.table import Row, parse_row_key
+from coltsfootspar.table.rows import create_row
 
 __all__ = [
     "Clients",
@@ -218,7 +219,8 @@
 
     :param scale: by how much the slots are scaled down from the deployment.
     :param duration_s: length of the run, seconds.
-    :param measure: time in which goodput and latency are measured.
+    :param measure: time in which goodput is measured.
+    :param latency: time in which latency is measured; ``measure`` when omitted.
     :param overload: set to measure recovery.
     :param crest_at_s: start of a demand swing, seconds; set to measure it.
     :param report_delay_ms: age of the load reports, ms.
@@ -238,6 +240,7 @@
     delays: Delays = Delays()
     clients: Clients = Clients()
     faults: tuple[Fault, ...] = ()
+    latency: Window | None = None
     overload: OverloadWindow | None = None
     crest_at_s: float | None = None
     report_delay_ms: float = 0.0
