--- a/src/coltsfootspar/bench/loading.py
+++ b/src/coltsfootspar/bench/loading.py
@@ -1,5 +1,6 @@
 """Reading scenario files: JSON with comments."""
 
+import enum
 from collections.abc import Iterator
 from pathlib import Path
 
@@ -7,7 +8,7 @@
 import cattrs
 import jsonc
 
-from coltsfootspar.bench.scenario import FaultKind, Scenario
+from coltsfootspar.bench.scenario import FaultKind, Scenario, TimeShape
 from coltsfootspar.exceptions import BenchError, CellError, TableError
 
 __all__ = ["check_scenario", "load_scenario", "parse_scenario"]
@@ -69,9 +70,17 @@
     converter = cattrs.Converter(forbid_extra_keys=True)
     for kind in (int, float, str, bool):
         converter.register_structure_hook(kind, _structure_plain)
+    for choices in (FaultKind, TimeShape):
+        converter.register_structure_hook(choices, _structure_choice)
     return converter
 
 
+def _structure_choice(value: object, choices: type[enum.StrEnum]) -> enum.StrEnum:
+    if value not in list(choices):
+        raise TypeError(f"{value!r} is not one of {', '.join(choices)}")
+    return choices(value)
+
+
 def _structure_plain(value: object, kind: type) -> object:
     is_number = isinstance(value, int | float) and not isinstance(value, bool)
     if kind is float and is_number:
--- a/src/coltsfootspar/bench/scenario.py
+++ b/src/coltsfootspar/bench/scenario.py
@@ -252,8 +252,14 @@
 
     @property
     def has_slow_servers(self) -> bool:
-        """True when backend servers are slowed."""
-        return any(fault.kind is FaultKind.SLOW for fault in self.faults)
+        """True when backend servers are slowed while latency is measured."""
+        window = self.latency or self.measure
+        return any(
+            fault.kind is FaultKind.SLOW
+            and fault.at_s < window.to_s
+            and (not fault.for_s or fault.at_s + fault.for_s > window.from_s)
+            for fault in self.faults
+        )
 
     def list_servers(self) -> Iterator[tuple[str, str, str]]:
         """Lists id, service and data centre of each backend server."""
