Compare calls with signal thresholds on the scale of ranks in the router

Cause: thresholds in signals carry ranks, 512 for each importance, while the router compared them with the plain priority, whose bucket ends at 127. Every call of an importance looked refused once the threshold lay in its upper part, and nodes stayed idle while others had queues. Change: the router converts a call to the scale of the thresholds.

--- a/src/coltsfootspar/routing/attempts.py
+++ b/src/coltsfootspar/routing/attempts.py
@@ -5,7 +5,8 @@
 import attrs
 import trio
 
-from coltsfootspar.calls import CallReply, CallRequest
+from coltsfootspar.admission.ranks import compute_rank, create_threshold
+from coltsfootspar.calls import CallReply, CallRequest, Priority
 from coltsfootspar.exceptions import (
     AttemptsExhaustedError,
     DeadlineError,
@@ -70,6 +71,11 @@
     _has_cancelled: bool = False
     _may_have_run: AttemptResult | None = None
 
+    @property
+    def _rank(self) -> Priority:
+        """Place of the call on the scale of the thresholds in signals."""
+        return create_threshold(compute_rank(self._request.context))
+
     async def run(self) -> CallReply:
         """Makes attempts until one succeeds or no other is allowed.
 
@@ -110,7 +116,7 @@
         self, now: float, *, again: bool = False, is_refused: bool = False
     ) -> Destination | None:
         return self._service.select(
-            self._request.context.priority,
+            self._rank,
             now,
             excluded=frozenset() if again else self._tried,
             is_local=self._request.is_spilled,
@@ -155,7 +161,7 @@
         return self._select(trio.current_time(), again=True)
 
     def _is_full(self, destination: Destination, now: float) -> bool:
-        return destination.is_full(self._request.context.priority, now)
+        return destination.is_full(self._rank, now)
 
     async def _attempt(self, destination: Destination) -> AttemptResult:
         granted = self._grant()
@@ -306,8 +312,7 @@
                 service.record_overload(until)
                 return
         if result.is_overloaded:
-            priority = self._request.context.priority
-            service.record_overload(destination.record_refusal(priority, now))
+            service.record_overload(destination.record_refusal(self._rank, now))
         elif not result.is_refused:
             destination.clear_floor()
 
