--- a/src/coltsfootspar/wire/frames.py
+++ b/src/coltsfootspar/wire/frames.py
@@ -45,6 +45,8 @@
     CALL = 16
     CALL_REPLY = 17
     LEAVING = 18
+    FIND_SPANS = 19
+    SPANS = 20
 
     PROBE = 32
     PROBE_ACK = 33
@@ -61,8 +63,6 @@
     APPEND_REPLY = 52
     INSTALL_SNAPSHOT = 53
     INSTALL_SNAPSHOT_REPLY = 54
-    REJOIN = 55
-    REJOIN_REPLY = 56
 
     PROPOSE = 64
     PROPOSE_REPLY = 65
