Tell admission the waiting time below and pass on refusals of the gate

Cause: the pipeline did not use three parts of the interface of admission: the time a call waited for calls below it, signals of single rows, and signals known at a gate that refuses. The order of reached services followed the hash seed. Change: the scope of a call adds up the time in which calls below were in progress; replies carry the signals of the row and of the gate; sorted services.

--- a/src/coltsfootspar/bench/loading.py
+++ b/src/coltsfootspar/bench/loading.py
@@ -8,8 +8,9 @@
 import cattrs
 import jsonc
 
-from coltsfootspar.bench.scenario import FaultKind, Scenario, TimeShape
+from coltsfootspar.bench.scenario import FaultKind, RequestKind, Scenario, TimeShape
 from coltsfootspar.exceptions import BenchError, CellError, TableError
+from coltsfootspar.table import COLUMNS, parse_cell, parse_row_key
 
 __all__ = ["check_scenario", "load_scenario", "parse_scenario"]
 
@@ -114,12 +115,13 @@
         yield f"rows: the shares add up to {shares:g}, not to 1"
     for name, kind in scenario.rows.items():
         try:
-            row = kind.create_row(name)
-        except (TableError, CellError, ValueError) as error:
+            service = parse_row_key(name).service
+        except TableError as error:
             yield f"rows.{name}: {error}"
             continue
-        if row.key.service not in scenario.services:
-            yield f"rows.{name}: no service {row.key.service!r}"
+        if service not in scenario.services:
+            yield f"rows.{name}: no service {service!r}"
+        yield from _check_cells(name, kind)
         if kind.time.mean_ms <= 0:
             yield f"rows.{name}.time.mean_ms: must be above 0"
         for called in (called for stage in kind.calls for called in stage):
@@ -128,6 +130,15 @@
     yield from _check_cycles(scenario)
 
 
+def _check_cells(name: str, kind: RequestKind) -> Iterator[str]:
+    for column in COLUMNS:
+        if hasattr(kind, column.name):
+            try:
+                parse_cell(column, getattr(kind, column.name), name)
+            except CellError as error:
+                yield f"rows.{name}.{column.name}: {error}"
+
+
 def _check_cycles(scenario: Scenario) -> Iterator[str]:
     done: set[str] = set()
 
--- a/src/coltsfootspar/calls/context.py
+++ b/src/coltsfootspar/calls/context.py
@@ -96,6 +96,7 @@
     :param reached: services that those calls have reached.
     :param signals: latest overload signal of each service on their replies.
     :param is_refused_below: true once one of those calls was refused.
+    :param below_seconds: time in which at least one of them was in progress.
     """
 
     context: CallContext
@@ -103,6 +104,24 @@
     reached: set[str] = attrs.field(factory=set)
     signals: dict[str, "OverloadSignal"] = attrs.field(factory=dict)
     is_refused_below: bool = False
+    below_seconds: float = 0.0
+    _waits: int = 0
+    _wait_started: float = 0.0
+
+    def begin_wait(self, now: float) -> None:
+        """Records that a call below begins.
+
+        :param now: trio clock, seconds.
+        """
+        if self._waits == 0:
+            self._wait_started = now
+        self._waits += 1
+
+    def end_wait(self, now: float) -> None:
+        """Records that a call below has ended."""
+        self._waits -= 1
+        if self._waits == 0:
+            self.below_seconds += now - self._wait_started
 
     def record_reply(self, reply: "CallReply") -> None:
         """Keeps what a reply says about the services below."""
--- a/src/coltsfootspar/node/admission.py
+++ b/src/coltsfootspar/node/admission.py
@@ -45,11 +45,11 @@
             )
         return await self._controller.acquire(request, row)
 
-    def get_signals(self) -> tuple[OverloadSignal, ...]:
+    def get_signals(self, row: Row | None = None) -> tuple[OverloadSignal, ...]:
         """Returns what the service refuses at present."""
         if self._controller is None:
             return ()
-        return self._controller.get_signals()
+        return self._controller.get_signals(row)
 
     def update_slots(self, slots: int, cold_start: float) -> None:
         """Takes new slots for the present service."""
--- a/src/coltsfootspar/node/pipeline.py
+++ b/src/coltsfootspar/node/pipeline.py
@@ -107,15 +107,26 @@
         if call.is_internal:
             parent = self._contexts.find(call.trace_id, call.parent_span_id)
         context = self._create_context(call, row, parent)
+        if parent is None:
+            return await self._trace_send(call, row, context)
+        parent.begin_wait(trio.current_time())
+        try:
+            reply = await self._trace_send(call, row, context)
+        finally:
+            parent.end_wait(trio.current_time())
+        self._contexts.return_allowance(parent, reply.unused_allowance)
+        parent.record_reply(reply)
+        return reply
+
+    async def _trace_send(
+        self, call: IncomingCall, row: Row, context: CallContext
+    ) -> CallReply:
         span = self._tracer.open_span("send", call.trace_id, call.parent_span_id)
         with span:
             span.set_attribute("row", row.name)
             context = attrs.evolve(context, parent_span_id=span.span_id)
             reply = await self._send(call, row, context)
             _describe_reply(span, reply)
-        if parent is not None:
-            self._contexts.return_allowance(parent, reply.unused_allowance)
-            parent.record_reply(reply)
         return reply
 
     def _create_context(
@@ -161,7 +172,9 @@
         try:
             entry_pass = self._gate.admit(row, context)
         except RefusedError as error:
-            return describe_error(error, context.allowance)
+            refused = describe_error(error, context.allowance)
+            # Gates closer to the client refuse such requests earlier.
+            return attrs.evolve(refused, signals=self._gate.get_signals(call.service))
         reply = None
         try:
             reply = await self._route(request, row)
@@ -192,11 +205,11 @@
                 _describe_reply(span, reply)
                 return attrs.evolve(
                     reply,
-                    signals=self._admission.get_signals(),
+                    signals=self._admission.get_signals(row),
                     reached=(request.service,),
                 )
             own = attrs.evolve(context, parent_span_id=span.span_id)
-            reply = await self._execute(attrs.evolve(request, context=own), permit)
+            reply = await self._execute(attrs.evolve(request, context=own), row, permit)
             _describe_reply(span, reply)
             return reply
 
@@ -207,7 +220,9 @@
             return await self._admission.acquire(request, row)
         raise DeadlineError("the deadline passed in the queue", may_have_run=False)
 
-    async def _execute(self, request: CallRequest, permit: Permit) -> CallReply:
+    async def _execute(
+        self, request: CallRequest, row: Row, permit: Permit
+    ) -> CallReply:
         start = trio.current_time()
         scope = self._contexts.add(request.context)
         succeeded = False
@@ -216,9 +231,11 @@
             succeeded = reply.status < _SERVER_ERROR or scope.is_refused_below
         finally:
             elapsed = trio.current_time() - start
-            permit.release(elapsed, succeeded=succeeded)
+            permit.release(
+                elapsed, succeeded=succeeded, below_seconds=scope.below_seconds
+            )
             unused = self._contexts.remove(scope)
-        return self._complete_reply(request, reply, scope, unused, elapsed)
+        return self._complete_reply(request, row, reply, scope, unused, elapsed)
 
     async def _run_backend(self, request: CallRequest) -> CallReply:
         try:
@@ -235,6 +252,7 @@
     def _complete_reply(
         self,
         request: CallRequest,
+        row: Row,
         reply: CallReply,
         scope: CallScope,
         unused: int,
@@ -251,14 +269,14 @@
             # Nodes above must not retry: the refusal was already handled where
             # it happened.
             refusal = Refusal("overload", 1.0, below=True)
-        signals = {s.service: s for s in self._admission.get_signals()}
+        signals = {s.service: s for s in self._admission.get_signals(row)}
         return attrs.evolve(
             reply,
             outcome=outcome,
             refusal=refusal,
             unused_allowance=unused,
             signals=(*signals.values(), *scope.signals.values()),
-            reached=(request.service, *(scope.reached - {request.service})),
+            reached=(request.service, *sorted(scope.reached - {request.service})),
             service_seconds=elapsed,
         )
 
--- a/src/coltsfootspar/node/tests/test_pipeline.py
+++ b/src/coltsfootspar/node/tests/test_pipeline.py
@@ -31,7 +31,7 @@
 class Permit:
     released: list
 
-    def release(self, service_seconds, *, succeeded):
+    def release(self, service_seconds, *, succeeded, below_seconds=0.0):
         self.released.append(succeeded)
 
 
@@ -57,7 +57,7 @@
             raise self.refuse
         return Permit(self.released)
 
-    def get_signals(self):
+    def get_signals(self, about=None):
         return ()
 
     async def call(self, request, row):
--- a/src/coltsfootspar/routing/tests/test_allowance.py
+++ b/src/coltsfootspar/routing/tests/test_allowance.py
@@ -48,10 +48,10 @@
     async def acquire(self, request, row):
         return self
 
-    def release(self, service_seconds, *, succeeded):
+    def release(self, service_seconds, *, succeeded, below_seconds=0.0):
         pass
 
-    def get_signals(self):
+    def get_signals(self, about=None):
         return ()
 
 
