Refuse the lowest waiting call in place of one that ranks above it

Cause: a call below the threshold was refused on arrival although calls that ranked below it waited in the queue; they had come before the threshold rose. Change: such a call takes the place of the lowest waiting call.

--- a/src/coltsfootspar/admission/controller.py
+++ b/src/coltsfootspar/admission/controller.py
@@ -114,12 +114,13 @@
             self._check_deadline(context, profile, 0.0, now)
             profile.add_call(context.priority.importance)
             return self._occupy(profile, lane)
-        if rank < lane.threshold.value:
-            raise RefusedError(f"{self.service} is overloaded")
         level = compute_level(context)
         ahead = lane.queue.compute_work_ahead(level) / max(1, lane.room)
         self._check_deadline(context, profile, ahead, now)
-        self._make_room(lane, rank)
+        if rank < lane.threshold.value:
+            self._replace_lowest(lane, rank)
+        else:
+            self._make_room(lane, rank)
         profile.add_call(context.priority.importance)
         waiter = Waiter(
             task=trio.lowlevel.current_task(),
@@ -195,6 +196,19 @@
             )
         self._refuse(lowest, "overload", f"{self.service} is overloaded")
 
+    def _replace_lowest(self, lane: Lane, rank: int) -> None:
+        """Refuses the lowest waiting call in place of the new one.
+
+        Calls that came before the threshold rose may rank below it and below
+        the new call.
+
+        :raises RefusedError: when no waiting call ranks below the new one.
+        """
+        lowest = lane.queue.find_lowest()
+        if lowest is None or lowest.rank >= rank:
+            raise RefusedError(f"{self.service} is overloaded")
+        self._refuse(lowest, "overload", f"{self.service} is overloaded")
+
     async def _wait(self, waiter: Waiter) -> _LocalPermit:
         lane = waiter.lane
         lane.queue.add(waiter)
