--- a/src/coltsfootspar/bench/main.py
+++ b/src/coltsfootspar/bench/main.py
@@ -2,6 +2,7 @@
 
 import sys
 from pathlib import Path
+from typing import Literal
 
 import attrs
 import defopt
@@ -22,7 +23,7 @@
     scenario: Path,
     *,
     seed: int | None = None,
-    policy: PolicyName = PolicyName.COLTSFOOTSPAR,
+    policy: Literal["baseline", "coltsfootspar"] = "coltsfootspar",
     json: bool = False,
 ) -> None:
     """Runs a scenario under one policy and prints its measures.
@@ -33,8 +34,9 @@
     :param json: print JSON.
     """
     loaded = load_scenario(scenario)
-    report, _ = measure_policy(loaded, policy, seed)
-    _print_reports(loaded, seed, {policy: report}, as_json=json)
+    name = PolicyName(policy)
+    report, _ = measure_policy(loaded, name, seed)
+    _print_reports(loaded, seed, {name: report}, as_json=json)
 
 
 def compare(
--- a/src/coltsfootspar/routing/attempts.py
+++ b/src/coltsfootspar/routing/attempts.py
@@ -201,7 +201,7 @@
         self._tried.add(destination.node_id)
         sent = self._create_attempt(destination, granted)
         attempt = Attempt(self._statistics, trio.current_time())
-        destination.calls.add(attempt)
+        destination.calls[attempt] = None
         self._in_flight += 1
         try:
             result = AttemptResult(await self._link.call(destination.node_id, sent))
@@ -212,7 +212,7 @@
             self._record_cancelled(destination, attempt)
             raise
         finally:
-            destination.calls.discard(attempt)
+            destination.calls.pop(attempt, None)
         self._in_flight -= 1
         self._take_back(result, granted)
         self._record(destination, attempt, result)
--- a/src/coltsfootspar/routing/destinations.py
+++ b/src/coltsfootspar/routing/destinations.py
@@ -67,7 +67,8 @@
     candidate: Candidate
     first_seen: float
     distance: int
-    calls: set[Attempt] = attrs.field(factory=set)
+    # In order of sending: the order decides about the estimate.
+    calls: dict[Attempt, None] = attrs.field(factory=dict)
     samples: int = 0
     sampled_at: float = 0.0
     is_ejected: bool = False
