Take free locks without a pass of the scheduler

Cause: each acquire of a free lock or limiter yields to trio's scheduler, which asks the kernel for events each time. Change: hold_lock tries without waiting first.

--- a/src/coltsfootspar/web/client.py
+++ b/src/coltsfootspar/web/client.py
@@ -16,6 +16,7 @@
 )
 from coltsfootspar.web.sockets import set_socket_options
 from coltsfootspar.wire import Address
+from coltsfootspar.wire.locks import hold_lock
 
 __all__ = ["create_h11_client"]
 
@@ -103,7 +104,7 @@
         self, address: Address, request: HttpRequest, *, fresh: bool = False
     ) -> HttpResponse:
         """Sends a request and reads the whole response."""
-        async with self._slots:
+        async with hold_lock(self._slots):
             connection = self._take_idle(address) if not fresh else None
             if connection is None:
                 connection = await self._connect(address)
--- a/src/coltsfootspar/wire/connection.py
+++ b/src/coltsfootspar/wire/connection.py
@@ -19,6 +19,7 @@
     encode_frame,
 )
 from coltsfootspar.wire.handshake import Identity, Peer, shake_hands
+from coltsfootspar.wire.locks import hold_lock
 from coltsfootspar.wire.schemas import decode_struct, load_schema
 
 __all__ = [
@@ -200,7 +201,7 @@
             await self._send_bytes(frame, pending)
 
     async def _send_bytes(self, data: bytes, pending: _Pending) -> None:
-        async with self._send_lock:
+        async with hold_lock(self._send_lock):
             if self._closed:
                 raise LinkError("connection is closed", may_have_run=pending.is_written)
             pending.is_written = True
