Add the capacity command and its tables

Cause: the capacity page is to be written from recorded output. Change: coltsfootspar-bench capacity measures, records, replays and writes the tables between markers of a page; OutcomeError is the base of all errors that say whether a request may have run.

--- a/src/coltsfootspar/bench/main.py
+++ b/src/coltsfootspar/bench/main.py
@@ -10,6 +10,7 @@
 from rich.console import Console
 from rich.table import Table
 
+from coltsfootspar.bench.capacity.command import capacity
 from coltsfootspar.bench.compare import Report, compare_policies, measure_policy
 from coltsfootspar.bench.loading import load_scenario
 from coltsfootspar.bench.policies import PolicyName
@@ -67,7 +68,7 @@
 def main(argv: list[str] | None = None) -> None:
     """Entry point."""
     try:
-        defopt.run([run, compare], argv=argv)
+        defopt.run([run, compare, capacity], argv=argv)
     except ColtsfootsparError as error:
         print(f"{error.code}: {error}", file=sys.stderr)
         raise SystemExit(1) from error
--- a/src/coltsfootspar/exceptions.py
+++ b/src/coltsfootspar/exceptions.py
@@ -8,6 +8,7 @@
 
 __all__ = [
     "ColtsfootsparError",
+    "OutcomeError",
     "SettingsError",
     "TableError",
     "CellError",
@@ -56,6 +57,17 @@
             self.code = code
 
 
+class OutcomeError(ColtsfootsparError):
+    """Base class of errors that say whether a request may have run.
+
+    :param may_have_run: false only when the request certainly did not run.
+    """
+
+    def __init__(self, message: str, *, may_have_run: bool, code: str | None = None):
+        super().__init__(message, code=code)
+        self.may_have_run = may_have_run
+
+
 class SettingsError(ColtsfootsparError):
     """One or more settings are missing or outside their range.
 
@@ -114,7 +126,7 @@
     code = "handshake"
 
 
-class LinkError(WireError):
+class LinkError(OutcomeError, WireError):
     """A peer could not be reached or its connection ended.
 
     :param may_have_run: true once the request may have reached the peer.
@@ -122,10 +134,6 @@
 
     code = "link"
 
-    def __init__(self, message: str, *, may_have_run: bool, code: str | None = None):
-        super().__init__(message, code=code)
-        self.may_have_run = may_have_run
-
 
 class AdmissionError(ColtsfootsparError):
     """Base class of the errors of admission."""
@@ -155,7 +163,7 @@
         self.below = below
 
 
-class BackendError(ColtsfootsparError):
+class BackendError(OutcomeError):
     """The backend server did not give a whole answer.
 
     :param may_have_run: false only when no byte of the request can have
@@ -164,12 +172,8 @@
 
     code = "backend"
 
-    def __init__(self, message: str, *, may_have_run: bool, code: str | None = None):
-        super().__init__(message, code=code)
-        self.may_have_run = may_have_run
-
 
-class RoutingError(ColtsfootsparError):
+class RoutingError(OutcomeError):
     """A call got no whole answer from any backend server.
 
     :param may_have_run: false only when no attempt can have run.
@@ -177,12 +181,6 @@
 
     code = "routing"
 
-    def __init__(
-        self, message: str, *, may_have_run: bool = False, code: str | None = None
-    ):
-        super().__init__(message, code=code)
-        self.may_have_run = may_have_run
-
 
 class NoCandidateError(RoutingError):
     """No reachable backend server offers the service."""
@@ -236,7 +234,7 @@
         self.may_have_run = may_have_run
 
 
-class UnreachableError(ClientError):
+class UnreachableError(OutcomeError, ClientError):
     """The admin interface cannot be reached or its replies are lost.
 
     :param may_have_run: true when a request may have reached it.
@@ -244,10 +242,6 @@
 
     code = "not-reachable"
 
-    def __init__(self, message: str, *, may_have_run: bool):
-        super().__init__(message)
-        self.may_have_run = may_have_run
-
 
 class StorageError(ColtsfootsparError):
     """The data folder cannot be read or written."""
@@ -289,7 +283,7 @@
         self.leader_id = leader_id
 
 
-class NoQuorumError(ReplicationError):
+class NoQuorumError(OutcomeError, ReplicationError):
     """No majority of the replicas answered in time.
 
     :param may_have_run: true when the command may still be committed.
@@ -297,12 +291,8 @@
 
     code = "no-quorum"
 
-    def __init__(self, message: str, *, may_have_run: bool):
-        super().__init__(message)
-        self.may_have_run = may_have_run
 
-
-class ClaimError(ColtsfootsparError):
+class ClaimError(OutcomeError):
     """An at-most-once request may not be run.
 
     :param may_have_run: true when an earlier request with the key may have run.
@@ -310,10 +300,6 @@
 
     code = "claim"
 
-    def __init__(self, message: str, *, may_have_run: bool, code: str | None = None):
-        super().__init__(message, code=code)
-        self.may_have_run = may_have_run
-
 
 class WebError(ColtsfootsparError):
     """Base class of the errors of the HTTP layer."""
@@ -333,7 +319,7 @@
     code = "too-large"
 
 
-class TransferError(WebError):
+class TransferError(OutcomeError, WebError):
     """An HTTP server gave no whole response.
 
     :param may_have_run: false only when no byte of the request was sent.
@@ -341,10 +327,6 @@
 
     code = "transfer"
 
-    def __init__(self, message: str, *, may_have_run: bool):
-        super().__init__(message)
-        self.may_have_run = may_have_run
-
 
 class BenchError(ColtsfootsparError):
     """A scenario is not valid or a measurement could not be made."""
--- a/src/coltsfootspar/node/replies.py
+++ b/src/coltsfootspar/node/replies.py
@@ -2,11 +2,9 @@
 
 from coltsfootspar.calls import CallReply, Outcome, Refusal
 from coltsfootspar.exceptions import (
-    BackendError,
-    ClaimError,
     ColtsfootsparError,
+    OutcomeError,
     RefusedError,
-    RoutingError,
 )
 
 __all__ = ["ERROR_HEADER", "OUTCOME_HEADER", "create_error_reply", "describe_error"]
@@ -79,7 +77,7 @@
     outcome = Outcome.NOT_RUN
     if isinstance(error, RefusedError):
         refusal = Refusal(error.code, error.retry_after, error.below)
-    elif isinstance(error, RoutingError | BackendError | ClaimError):
+    elif isinstance(error, OutcomeError):
         outcome = Outcome.MAY_HAVE_RUN if error.may_have_run else Outcome.NOT_RUN
     else:
         outcome = Outcome.MAY_HAVE_RUN
--- a/src/coltsfootspar/routing/attempts.py
+++ b/src/coltsfootspar/routing/attempts.py
@@ -78,7 +78,10 @@
     async def _run_attempts(self) -> CallReply:
         destination = self._select_first()
         if destination is None:
-            raise NoCandidateError(f"no backend server offers {self._request.service}")
+            raise NoCandidateError(
+                f"no backend server offers {self._request.service}",
+                may_have_run=False,
+            )
         while True:
             result = await self._attempt(destination)
             if not result.is_failed:
--- a/src/coltsfootspar/routing/baseline.py
+++ b/src/coltsfootspar/routing/baseline.py
@@ -58,7 +58,9 @@
         candidates = self._directory.list_candidates(service)
         usable = [c for c in candidates if not c.is_leaving]
         if not usable:
-            raise NoCandidateError(f"no backend server offers {service}")
+            raise NoCandidateError(
+                f"no backend server offers {service}", may_have_run=False
+            )
         return self._random.choice(usable).node_id
 
 
