Name the remedy for damage in a cluster of one replica

The error told operators to start with an empty folder, which loses everything when there are no other replicas. Measured: the storage tests pass.

--- a/src/coltsfootspar/replication/log.py
+++ b/src/coltsfootspar/replication/log.py
@@ -9,6 +9,7 @@
 from coltsfootspar.replication.commands import Entry
 from coltsfootspar.replication.interfaces import Disk
 from coltsfootspar.replication.records import (
+    REMEDY,
     create_corrupt_error,
     encode_file_header,
     encode_record,
@@ -289,9 +290,7 @@
         if entry.index > expected:
             raise CorruptLogError(
                 f"{name}: entry {entry.index} at byte {offset} follows entry "
-                f"{expected - 1}, those between are missing; move the data folder "
-                "away and start the replica with an empty one, it then gets the "
-                "state from the other replicas",
+                f"{expected - 1}, those between are missing; {REMEDY}",
                 path=name,
                 offset=offset,
             )
--- a/src/coltsfootspar/replication/records.py
+++ b/src/coltsfootspar/replication/records.py
@@ -19,6 +19,7 @@
 
 __all__ = [
     "FILE_HEADER_BYTES",
+    "REMEDY",
     "RecordFile",
     "create_corrupt_error",
     "encode_file_header",
@@ -31,6 +32,10 @@
 _SALT_BYTES = 8
 _HEADER = struct.Struct(">4sII")
 _CRC = struct.Struct(">I")
+REMEDY = (
+    "move the data folder away and start the replica with an empty one, it then gets "
+    "the state from the other replicas; without others, restore a copy of the folder"
+)
 FILE_HEADER_BYTES = len(_MAGIC) + _SALT_BYTES + _CRC.size
 
 
@@ -98,13 +103,8 @@
 
 def create_corrupt_error(name: str, offset: int) -> CorruptLogError:
     """Creates the error for a damaged record."""
-    return CorruptLogError(
-        f"{name}: the record at byte {offset} is damaged; move the data folder away "
-        "and start the replica with an empty one, it then gets the state from the "
-        "other replicas",
-        path=name,
-        offset=offset,
-    )
+    message = f"{name}: the record at byte {offset} is damaged; {REMEDY}"
+    return CorruptLogError(message, path=name, offset=offset)
 
 
 def _parse_file_header(data: bytes) -> bytes | None:
