--- a/src/coltsfootspar/replication/following.py
+++ b/src/coltsfootspar/replication/following.py
@@ -2,7 +2,11 @@
 
 import trio
 
-from coltsfootspar.exceptions import ColtsfootsparError, ReplicationError
+from coltsfootspar.exceptions import (
+    ColtsfootsparError,
+    ReplicationError,
+    StorageError,
+)
 from coltsfootspar.replication.commands import Entry
 from coltsfootspar.replication.core import ReplicaCore, Role
 from coltsfootspar.replication.messages import (
@@ -37,7 +41,10 @@
 
 
 async def answer_install(core: ReplicaCore, request: InstallRequest) -> InstallReply:
-    """Takes a part of the leader's snapshot."""
+    """Takes a part of the leader's snapshot.
+
+    :raises FrameError: when the snapshot is damaged; the own state stays.
+    """
     if not await _follow(core, request):
         return InstallReply(core.term, 0, False)
     key = (request.leader_id, request.snapshot_index, request.snapshot_term)
@@ -48,7 +55,7 @@
             )
             if state is not None:
                 await core.install(state)
-        except ColtsfootsparError as error:
+        except StorageError as error:
             core.fail(error)
             raise
     return InstallReply(core.term, next_offset, next_offset >= request.size)
--- a/src/coltsfootspar/replication/snapshots.py
+++ b/src/coltsfootspar/replication/snapshots.py
@@ -6,7 +6,7 @@
 import attrs
 import trio
 
-from coltsfootspar.exceptions import FrameError
+from coltsfootspar.exceptions import CorruptLogError, FrameError
 from coltsfootspar.replication.interfaces import Disk
 from coltsfootspar.replication.records import (
     create_corrupt_error,
@@ -85,9 +85,12 @@
         """Reads the latest snapshot for another replica.
 
         :returns: index, term and the bytes of the file.
+        :raises CorruptLogError: when the file was damaged since it was written.
         """
         async with self._lock:
-            data = await self._disk.read(_create_name(self.index))
+            name = _create_name(self.index)
+            data = await self._disk.read(name)
+            parse_records(name, data, may_be_torn=False)
             return self.index, self.term, data
 
     async def receive(
@@ -100,6 +103,7 @@
         :param size: size of the whole, bytes.
         :returns: the offset expected next, and the state once it is whole and
             durable.
+        :raises FrameError: when the whole is not a valid snapshot.
         """
         async with self._lock:
             if key != self._incoming:
@@ -118,9 +122,12 @@
     async def _complete_incoming(
         self, key: tuple[str, int, int]
     ) -> ReplicatedState | None:
-        state, size = await self._read(_INCOMING)
+        try:
+            state, size = await self._read(_INCOMING)
+        except CorruptLogError as error:
+            raise FrameError(f"snapshot of {key[0]} is damaged") from error
         if (state.index, state.term) != key[1:]:
-            raise create_corrupt_error(_INCOMING, 0)
+            raise FrameError(f"snapshot of {key[0]} is not the one announced")
         await self._publish(_INCOMING, state, size)
         return state
 
--- a/src/coltsfootspar/replication/tests/test_failures.py
+++ b/src/coltsfootspar/replication/tests/test_failures.py
@@ -481,3 +481,23 @@
         assert not await ask(others[1], 50)
         assert await ask(others[0], 50)
         assert not await ask(others[1], 49)
+
+
+async def test_damaged_snapshot_of_the_leader_is_not_spread(autojump_clock):
+    async with open_cluster(options=SMALL_SNAPSHOTS) as cluster:
+        client = cluster.create_client()
+        leader = await cluster.wait_leader()
+        behind = next(name for name in cluster.replica_ids if name != leader)
+        await cluster.crash(behind)
+        versions = await make_changes(client, 1100)
+        await trio.sleep(1)
+        disk = cluster.disks[leader]
+        (name,) = [n for n in disk.list_names() if n.startswith("snapshot-")]
+        disk.flip_bit(name, disk.get_size(name) // 2)
+        await cluster.start(behind)
+        await wait_until(lambda: leader in cluster.errors, 10)
+        assert cluster.errors[leader].code == "corrupt-log"
+        assert list(cluster.errors) == [leader]
+        await cluster.replace_disk(leader)
+        versions += await make_changes(client, 3)
+        await check_history(cluster, client, versions[-900:])
