Use a node that was draining when there is no other

After a draining answer of the only node of a service the router sent it nothing for 5 s, even when the node had come back at once. It is now the last choice in place of none; a test shows the case.

--- a/src/coltsfootspar/routing/destinations.py
+++ b/src/coltsfootspar/routing/destinations.py
@@ -35,6 +35,7 @@
     FULL = "full"
     EJECTED = "ejected"
     UNREACHABLE = "unreachable"
+    SKIPPED = "skipped"
     LEAVING = "leaving"
 
 
@@ -118,11 +119,17 @@
         self.candidate = candidate
 
     def skip(self, until: float) -> None:
-        """Sends nothing to it, since it takes no new work."""
+        """Sends nothing to it while there is another, since it takes no new work.
+
+        :param until: trio clock, seconds.
+        """
         self._skip_until = until
 
     def avoid(self, until: float) -> None:
-        """Prefers all others, since it could not be reached."""
+        """Prefers all others, since it could not be reached.
+
+        :param until: trio clock, seconds.
+        """
         self._unreachable_until = until
 
     def set_floor(self, floor: Priority, until: float) -> None:
@@ -177,8 +184,10 @@
 
         :param priority: priority of the call.
         """
-        if self.candidate.is_leaving or now < self._skip_until:
+        if self.candidate.is_leaving:
             return Availability.LEAVING
+        if now < self._skip_until:
+            return Availability.SKIPPED
         if now < self._unreachable_until:
             return Availability.UNREACHABLE
         if self.is_ejected:
--- a/src/coltsfootspar/routing/services.py
+++ b/src/coltsfootspar/routing/services.py
@@ -15,6 +15,12 @@
 __all__ = ["ServiceState", "Site"]
 
 REVIEW_PERIOD = 0.05
+# A node that was draining a moment ago may be back; it refuses what it must.
+_FALLBACK_GROUPS = (
+    (Availability.GOOD, Availability.FULL, Availability.EJECTED),
+    (Availability.UNREACHABLE,),
+    (Availability.SKIPPED,),
+)
 
 
 @attrs.frozen
@@ -139,15 +145,11 @@
     def _choose_fallback(
         self, checked: Iterable[list[tuple[Destination, Availability]]], now: float
     ) -> Destination | None:
-        avoided = (Availability.LEAVING, Availability.UNREACHABLE)
-        for states in checked:
-            reachable = [d for d, state in states if state not in avoided]
-            if reachable:
-                return self._choose(reachable, now)
-        for states in checked:
-            rest = [d for d, state in states if state is Availability.UNREACHABLE]
-            if rest:
-                return self._choose(rest, now)
+        for group in _FALLBACK_GROUPS:
+            for states in checked:
+                found = [d for d, state in states if state in group]
+                if found:
+                    return self._choose(found, now)
         return None
 
     def _choose(self, destinations: list[Destination], now: float) -> Destination:
--- a/src/coltsfootspar/routing/tests/test_router.py
+++ b/src/coltsfootspar/routing/tests/test_router.py
@@ -227,6 +227,15 @@
     assert link.take_counts()["x1"] <= 1
 
 
+async def test_only_node_is_used_as_soon_as_it_is_back(autojump_clock):
+    """Guards against seconds without an answer after a short absence."""
+    replies = [DRAINING]
+    router, _ = create_parts(lambda *_: replies[0], LOCAL[:1])
+    assert (await router.call(create_request(), READ)).refusal == DRAINING.refusal
+    replies[0] = OK
+    assert (await router.call(create_request(), READ)).status == 200
+
+
 async def test_leaving_and_absent_nodes_get_no_calls(autojump_clock):
     leaving = [attrs.evolve(c, is_leaving=True) for c in LOCAL]
     router, link = create_parts(lambda *_: OK, leaving)
