Start the drain test only when both servers are known

Cause: the test stopped one of two servers before the gossip had told the entry node of the other, so that for a second there was none. Change: wait for both; failures now show their error code.

--- a/src/coltsfootspar/node/tests/test_processes.py
+++ b/src/coltsfootspar/node/tests/test_processes.py
@@ -1,5 +1,6 @@
 """Real processes and files: kills, restarts and drains."""
 
+import collections
 import itertools
 import secrets
 import threading
@@ -101,14 +102,20 @@
     hosts = [HostPlan(f"specs-{number}", "specs", behaviours=ECHO) for number in (1, 2)]
     deployment = start([HostPlan("entry", "front"), *hosts])
     wait_for(lambda: deployment.edit("entry", ROWS).status == 200, "a leader")
-    wait_for(lambda: ask(deployment) == 200, "the first answer")
+    wait_for(lambda: count_servers(deployment) == 2, "both servers at the entry")
+    wait_for(lambda: ask_specs(deployment).status == 200, "the first answer")
     return deployment
 
 
-def ask(deployment, path="/specs/1"):
+def count_servers(deployment):
+    members = deployment.get("entry", "/members")["members"]
+    return sum(member["service"] == "specs" for member in members)
+
+
+def ask_specs(deployment):
     headers = {"Host": "specs"}
     address = deployment.inbound["entry"]
-    return deployment.request(address, "GET", path, headers=headers).status
+    return deployment.request(address, "GET", "/specs/1", headers=headers)
 
 
 def test_body_of_more_than_a_megabyte_returns_byte_for_byte(start):
@@ -129,26 +136,28 @@
     """Guards against requests lost in a planned stop of a node and its server."""
     deployment = start_three_hosts(start)
     stop = threading.Event()
-    statuses = []
+    answers = []
 
     def send():
         while not stop.is_set():
             try:
-                statuses.append(ask(deployment))
+                answer = ask_specs(deployment)
+                error = answer.headers.get("coltsfootspar-error", "")
+                answers.append((answer.status, error, answer.body[:100]))
             except OSError as error:
-                statuses.append(error)
+                answers.append((0, repr(error), b""))
 
     threads = [threading.Thread(target=send) for _ in range(4)]
     for thread in threads:
         thread.start()
     try:
-        wait_for(lambda: len(statuses) > 50, "load")
+        wait_for(lambda: len(answers) > 50, "load")
         codes = [deployment.stop("specs-1"), deployment.stop("specs-1-server")]
-        count = len(statuses)
-        wait_for(lambda: len(statuses) > count + 50, "load after the stop")
+        count = len(answers)
+        wait_for(lambda: len(answers) > count + 50, "load after the stop")
     finally:
         stop.set()
         for thread in threads:
             thread.join()
     assert codes == [0, 0]
-    assert [status for status in statuses if status != 200] == []
+    assert collections.Counter(a for a in answers if a[0] != 200) == {}
