Encode a round of news once for all its receivers

Most processor time in a burst of changes goes into encoding. The members of one round now get the same datagram, and a probe is encoded once instead of twice.

--- a/src/coltsfootspar/membership/gossip.py
+++ b/src/coltsfootspar/membership/gossip.py
@@ -1,6 +1,7 @@
 """Spread of news within the data centre and to the others."""
 
 import itertools
+from collections.abc import Sequence
 
 import attrs
 import trio
@@ -32,10 +33,9 @@
             if not neighbours:
                 await trio.sleep(view.limits.join_period)
             count = min(view.limits.gossip_fanout, len(neighbours))
-            for member in self._transport.random.sample(neighbours, count):
-                limit = view.transmissions
-                if not await self._send(view.outbox, member.gossip_address, limit):
-                    break
+            members = self._transport.random.sample(neighbours, count)
+            addresses = [member.gossip_address for member in members]
+            await self._send(view.outbox, addresses, view.transmissions)
 
     async def run_remote(self) -> None:
         """Spreads news of the own data centre to others while it is a relay."""
@@ -55,9 +55,13 @@
             view.roster.own.data_centre,
             *view.list_other_data_centres(),
         ):
-            for relay in view.rank_relays(data_centre)[:RELAYS]:
-                if relay.node_id != view.roster.own_id:
-                    await self._transport.send_records(relay.gossip_address, [record])
+            relays = view.rank_relays(data_centre)[:RELAYS]
+            addresses = [
+                relay.gossip_address
+                for relay in relays
+                if relay.node_id != view.roster.own_id
+            ]
+            await self._transport.send_records(addresses, [record])
 
     async def _send_remote(self, data_centre: str, outbox: Outbox) -> None:
         relays = self._view.rank_relays(data_centre)[:RELAYS]
@@ -65,16 +69,20 @@
             return
         relay = self._transport.random.choice(relays)
         limit = self._view.limits.relay_transmissions
-        await self._send(outbox, relay.gossip_address, limit)
+        await self._send(outbox, [relay.gossip_address], limit)
 
-    async def _send(self, outbox: Outbox, address: Address, limit: int) -> bool:
+    async def _send(
+        self, outbox: Outbox, addresses: Sequence[Address], limit: int
+    ) -> None:
+        # The members of one round get the same datagram: most of the processor
+        # time of a burst goes into encoding.
         records = self._select(outbox)
         if not records:
-            return True
-        if not await self._transport.send_records(address, records):
-            return False
-        outbox.record_sent([record.node_id for record in records], limit)
-        return True
+            return
+        sent = await self._transport.send_records(addresses, records)
+        node_ids = [record.node_id for record in records]
+        for _ in range(sent):
+            outbox.record_sent(node_ids, limit)
 
     def _select(self, outbox: Outbox) -> list[MemberRecord]:
         now = trio.current_time()
--- a/src/coltsfootspar/membership/transport.py
+++ b/src/coltsfootspar/membership/transport.py
@@ -16,6 +16,7 @@
     MemberRecord,
     MemberStatus,
     Packet,
+    estimate_record_bytes,
     open_packet,
     seal_packet,
     select_fitting,
@@ -73,31 +74,31 @@
         records = self._select_doubts(node_id)
         if reply_to is not None:
             records += self._select_refutation(reply_to)
-        bare = self._seal(kind, records, fields)
-        self.budget.charge(len(bare) + _HEADER_BYTES)
         loaded = self._select_news(records)
-        if len(loaded) > len(records):
-            data = self._seal(kind, loaded, fields)
-            if self.budget.try_take(len(data) - len(bare)):
-                self._record_sent(loaded)
-                bare = data
-        await self._transmit(address, bare)
+        extra = sum(estimate_record_bytes(record) for record in loaded[len(records) :])
+        if extra and self.budget.try_take(extra):
+            self._record_sent(loaded)
+            records = loaded
+        else:
+            extra = 0
+        data = self._seal(kind, records, fields)
+        self.budget.charge(max(0, len(data) + _HEADER_BYTES - extra))
+        await self._transmit(address, data)
 
     async def send_records(
-        self,
-        address: Address,
-        records: Sequence[MemberRecord],
-    ) -> bool:
-        """Sends news that fit into one datagram.
+        self, addresses: Sequence[Address], records: Sequence[MemberRecord]
+    ) -> int:
+        """Sends news that fit into one datagram to some members.
 
-        :returns: False when the budget did not allow it.
+        :returns: how many of the members the budget allowed.
         """
         data = self._seal(FrameKind.UPDATES, records, {})
-        if not self.budget.try_take(len(data) + _HEADER_BYTES):
-            self.counters.postponed += 1
-            return False
-        await self._transmit(address, data)
-        return True
+        for count, address in enumerate(addresses):
+            if not self.budget.try_take(len(data) + _HEADER_BYTES):
+                self.counters.postponed += 1
+                return count
+            await self._transmit(address, data)
+        return len(addresses)
 
     async def send_records_later(
         self, address: Address, records: Sequence[MemberRecord], reserve: float
