Confirm with probes that the own part of a data centre is the larger one

Before a death is declared, the node now probes up to eight random members, suspects included, and declares it only when more than half of them, itself included, answer.

--- a/src/coltsfootspar/membership/probing.py
+++ b/src/coltsfootspar/membership/probing.py
@@ -17,7 +17,7 @@
 _JITTER = 0.1
 _MAX_SEQUENCE = 0xFFFFFFFF
 _NO_SEQUENCE = 0
-# Suspects that are probed at once; many at once are a lost rack.
+# Members that are probed at once to confirm suspicions.
 _MAX_CHECKS = 8
 
 
@@ -93,9 +93,28 @@
             self._view.last_answer = trio.current_time()
             pending.answered.set()
 
+    async def reaches_majority(self) -> bool:
+        """Probes some random members, suspects included.
+
+        Shortly after a split few of the other part are suspected yet, so that
+        their number does not show which part is the larger one.
+        """
+        neighbours = self._view.roster.list_neighbours()
+        count = min(_MAX_CHECKS, len(neighbours))
+        answers = []
+
+        async def ask(member: Member) -> None:
+            if await self.ping(member, self._view.limits.probe_timeout):
+                answers.append(member)
+
+        async with trio.open_nursery() as nursery:
+            for member in self._transport.random.sample(neighbours, count):
+                nursery.start_soon(ask, member)
+        # The own node counts as one that answers.
+        return 2 * (len(answers) + 1) > count + 1
+
     async def _probe(self, member: Member) -> None:
         is_answered = await self._is_alive(member)
-        self._view.record_probe(is_answered=is_answered)
         if not is_answered and not self._view.is_isolated:
             self._view.suspect(member)
 
--- a/src/coltsfootspar/membership/service.py
+++ b/src/coltsfootspar/membership/service.py
@@ -17,7 +17,7 @@
 from coltsfootspar.membership.settings import MembershipLimits
 from coltsfootspar.membership.syncing import Synchronizer
 from coltsfootspar.membership.transport import Transport, TransportCounters
-from coltsfootspar.membership.view import View
+from coltsfootspar.membership.view import Verdict, View
 from coltsfootspar.routing.interfaces import Candidate
 from coltsfootspar.timers import TimerService
 from coltsfootspar.wire import Address, FrameKind
@@ -182,7 +182,18 @@
 
     async def _judge(self) -> None:
         async for _ in self._timers.subscribe(_JUDGE_PERIOD):
-            await self._prober.check_suspects(self._view.judge())
+            verdict = self._view.judge()
+            await self._prober.check_suspects(verdict.overdue)
+            if verdict.condemned:
+                await self._end_suspicions(verdict)
+
+    async def _end_suspicions(self, verdict: Verdict) -> None:
+        is_majority = verdict.is_larger_part and await self._prober.reaches_majority()
+        for member in verdict.condemned:
+            if is_majority:
+                self._view.declare_dead(member)
+            else:
+                self._view.hold(member)
 
     async def _receive(self) -> None:
         while True:
--- a/src/coltsfootspar/membership/tests/test_failures.py
+++ b/src/coltsfootspar/membership/tests/test_failures.py
@@ -1,5 +1,6 @@
 """Crashes must be found, and nobody who lives may be given up."""
 
+import pytest
 import trio
 
 from coltsfootspar.membership import MemberStatus
@@ -105,8 +106,11 @@
         await cluster.wait_until(cluster.is_converged, 20)
 
 
-async def test_lost_rack_is_found_and_comes_back(open_cluster, autojump_clock):
-    async with open_cluster(seed=18) as cluster:
+# With seed 2019 the rack's members once declared others dead, since their timeout
+# ended before most of the other part was suspected.
+@pytest.mark.parametrize("seed", [18, 2019])
+async def test_lost_rack_is_found_and_comes_back(open_cluster, autojump_clock, seed):
+    async with open_cluster(seed) as cluster:
         cluster.network.default = LinkState(delay=0.004, jitter=0.004)
         await cluster.grow("a", "b", size=12)
         rack = [f"a-{number}" for number in (2, 3, 4, 5)]
--- a/src/coltsfootspar/membership/tests/test_ports.py
+++ b/src/coltsfootspar/membership/tests/test_ports.py
@@ -37,9 +37,10 @@
 
 
 async def test_members_find_each_other_over_udp():
-    async with trio.open_nursery() as nursery:
-        members = []
-        async with open_udp_port(ANY_PORT) as left, open_udp_port(ANY_PORT) as right:
+    # The ports close after the tasks that use them.
+    async with open_udp_port(ANY_PORT) as left, open_udp_port(ANY_PORT) as right:
+        async with trio.open_nursery() as nursery:
+            members = []
             for name, port in (("a-0", left), ("a-1", right)):
                 timers = create_timer_service(random.Random(1))
                 identity = NodeIdentity(name, "r", "a", port.address, ANY_PORT, 1)
--- a/src/coltsfootspar/membership/view.py
+++ b/src/coltsfootspar/membership/view.py
@@ -1,7 +1,6 @@
 """What the own node believes of all members, and its own news."""
 
 import math
-from collections import deque
 from collections.abc import Callable, Iterable
 
 import attrs
@@ -16,16 +15,31 @@
 from coltsfootspar.membership.settings import MembershipLimits
 from coltsfootspar.wire.membership import MemberRecord, MemberStatus
 
-__all__ = ["MemberCallback", "View"]
+__all__ = ["MemberCallback", "Verdict", "View"]
 
-# Results of the own probes that show whether the own node is in the smaller part
-# of a split data centre.
-_PROBE_RESULTS = 8
 _SPLIT_FACTOR = 3
 
 MemberCallback = Callable[[Member], None]
 
 
+@attrs.frozen
+class Verdict:
+    """What has become of the suspects of the own data centre.
+
+    The smaller part of a data centre that is split, such as one rack, takes the
+    others out of use without declaring them dead. After the repair they do not
+    have to refute that.
+
+    :param overdue: those for whom more than half of the timeout has passed.
+    :param condemned: those that have not refuted in time.
+    :param is_larger_part: false when most others are suspected or nobody answers.
+    """
+
+    overdue: list[Member]
+    condemned: list[Member]
+    is_larger_part: bool
+
+
 @attrs.define(eq=False)
 class View:
     """State of membership without any input or output.
@@ -48,9 +62,6 @@
     _remote_filled: trio.Event = attrs.field(factory=trio.Event)
     _callbacks: list[MemberCallback] = attrs.field(factory=list)
     _silent: frozenset[str] = frozenset()
-    _probe_results: deque[bool] = attrs.field(
-        factory=lambda: deque(maxlen=_PROBE_RESULTS)
-    )
     _listed: tuple[int, tuple[Member, ...]] | None = None
     _held: set[str] = attrs.field(factory=set)
     _ranked: dict[str, tuple[int, list[Member]]] = attrs.field(factory=dict)
@@ -140,20 +151,34 @@
         status = MemberStatus.SUSPECT
         self._accept(attrs.evolve(known, status=status, status_since=now))
 
-    def record_probe(self, *, is_answered: bool) -> None:
-        """Records the result of a probe in the own data centre."""
-        self._probe_results.append(is_answered)
-
-    def judge(self) -> list[Member]:
-        """Ends suspicions that were not refuted and marks silent data centres.
-
-        :returns: suspects for whom more than half of the timeout has passed.
-        """
+    def judge(self) -> Verdict:
+        """Marks silent data centres and sorts the suspects by their time."""
         now = trio.current_time()
-        overdue = self._judge_suspects(now)
+        verdict = self._judge_suspects(now)
         self._mark_data_centres(now)
         self.roster.expire(now)
-        return overdue
+        return verdict
+
+    def declare_dead(self, member: Member) -> None:
+        """Ends a suspicion that was not refuted, unless there is later news."""
+        known = self.roster.get(member.node_id)
+        if known is None or known.rank != member.rank:
+            return
+        logging.info("member %s is declared dead", member.node_id)
+        self.deaths += 1
+        now = trio.current_time()
+        status = MemberStatus.DEAD
+        self._accept(attrs.evolve(known, status=status, status_since=now))
+
+    def hold(self, member: Member) -> None:
+        """Takes a member out of use without declaring it dead."""
+        known = self.roster.get(member.node_id)
+        if known is None or known.rank != member.rank:
+            return
+        if member.node_id not in self._held:
+            self._held.add(member.node_id)
+            self.roster.revision += 1
+            self._notify(known)
 
     def _accept(self, member: Member, *, is_news: bool = True) -> None:
         self.roster.put(member)
@@ -206,7 +231,7 @@
         own = attrs.evolve(own, incarnation=record.incarnation + 1)
         self._accept(own)
 
-    def _judge_suspects(self, now: float) -> list[Member]:
+    def _judge_suspects(self, now: float) -> Verdict:
         neighbours = self.roster.list_neighbours()
         scale = max(1.0, math.log10(len(neighbours) + 1))
         suspects = [m for m in neighbours if m.status is MemberStatus.SUSPECT]
@@ -214,38 +239,12 @@
         # Where many are suspected, it takes longer to see on which side of a
         # split the larger part is.
         timeout = self.limits.suspicion * scale * (1 + _SPLIT_FACTOR * share)
-        can_declare = self._can_declare(share)
-        overdue = []
-        for member in suspects:
-            age = now - member.status_since
-            if age > timeout / 2:
-                overdue.append(member)
-            if age < timeout:
-                continue
-            if can_declare:
-                self._declare_dead(member, now)
-            elif member.node_id not in self._held:
-                self._held.add(member.node_id)
-                self.roster.revision += 1
-                self._notify(member)
-        return overdue
-
-    def _can_declare(self, share: float) -> bool:
-        """Tells whether the own part of the data centre is the larger one.
-
-        The smaller part of a data centre that is split, such as one rack, takes
-        the others out of use without declaring them dead. After the repair they
-        do not have to refute that.
-        """
-        failed = self._probe_results.count(False)
-        is_failing = failed >= 3 and 2 * failed > len(self._probe_results)
-        return not (self.is_isolated or is_failing) and share < 1 / 2
-
-    def _declare_dead(self, member: Member, now: float) -> None:
-        logging.info("member %s is declared dead", member.node_id)
-        self.deaths += 1
-        status = MemberStatus.DEAD
-        self._accept(attrs.evolve(member, status=status, status_since=now))
+        ages = [(member, now - member.status_since) for member in suspects]
+        return Verdict(
+            overdue=[member for member, age in ages if age > timeout / 2],
+            condemned=[member for member, age in ages if age > timeout],
+            is_larger_part=not self.is_isolated and share < 1 / 2,
+        )
 
     def _mark_data_centres(self, now: float) -> None:
         # One whose members are all gone is no longer part of the deployment.
