--- a/src/coltsfootspar/admission/controller.py
+++ b/src/coltsfootspar/admission/controller.py
@@ -117,7 +117,7 @@
             self._check_deadline(context, profile, 0.0, now)
             profile.add_call(context.priority.importance)
             return self._occupy(profile, lane)
-        if rank < lane.threshold.local:
+        if rank < lane.threshold.value:
             raise RefusedError(f"{self.service} is overloaded")
         level = compute_level(context)
         ahead = lane.queue.compute_work_ahead(level) / max(1, lane.room)
@@ -149,13 +149,13 @@
         now = trio.current_time()
         if now - self._refreshed_at >= _REFRESH_SECONDS:
             self._refresh(now)
-        value = self._short.threshold.value
+        value = self._short.threshold.announced
         signals = (_create_signal(self.service, value),) if value > 0 else ()
-        if row is None or self._long.threshold.value <= value:
+        if row is None or self._long.threshold.announced <= value:
             return signals
         if not self._profiles.get(row).is_long:
             return signals
-        return (*signals, _create_signal(row.name, self._long.threshold.value))
+        return (*signals, _create_signal(row.name, self._long.threshold.announced))
 
     def update_slots(self, slots: int, cold_start: float) -> None:
         """Takes an announcement of the backend server."""
@@ -281,10 +281,10 @@
         others overtake them.
         """
         target = lane.threshold.compute_target()
-        while lane.queue and lane.threshold.value > 0:
+        while lane.queue and lane.threshold.announced > 0:
             lowest = lane.queue.find_lowest()
             is_too_long = is_over and lane.compute_delay() > target
-            is_below = lowest.rank < lane.threshold.local
+            is_below = lowest.rank < lane.threshold.value
             has_starved = now - lowest.arrived_at > _MAX_WAIT_TARGETS * target
             if not (is_too_long and is_below) and not has_starved:
                 return
--- a/src/coltsfootspar/admission/thresholds.py
+++ b/src/coltsfootspar/admission/thresholds.py
@@ -55,12 +55,12 @@
     to the rank above which demand fits the capacity, and follows demand from
     then on. While there is no queue, the threshold falls by steps that double.
 
-    :param value: lowest admitted rank, for the senders; 0 admits all.
-    :param local: lowest rank admitted to the own queue.
+    :param value: lowest rank admitted to the own queue; 0 admits all.
+    :param announced: lowest admitted rank as the senders are told.
     """
 
     value: int = 0
-    local: int = 0
+    announced: int = 0
     _demand: dict[int, float] = attrs.field(factory=dict)
     _hidden: dict[int, float] = attrs.field(factory=dict)
     _calls: float = 0.0
@@ -109,9 +109,9 @@
         self._weight += elapsed
         target = self.compute_target()
         is_over = lowest > target
-        if is_over or self.value > 0:
+        if is_over or self.announced > 0:
             self._adjust(lowest, target, slots, elapsed)
-        self._history.append(self.value)
+        self._history.append(self.announced)
         self._age(elapsed)
         return is_over
 
@@ -125,13 +125,13 @@
         windows = min(_MAX_WINDOWS, max(1, int(elapsed / _WINDOW_SECONDS)))
         if lowest >= _IDLE_SHARE * target:
             self._fall = _FIRST_FALL
-            self.value = max(fitting, self.value - windows * _FIRST_FALL)
+            self.announced = max(fitting, self.announced - windows * _FIRST_FALL)
         else:
             for _ in range(windows):
-                self.value = max(0, self.value - self._fall)
+                self.announced = max(0, self.announced - self._fall)
                 self._fall = min(2 * self._fall, HIGHEST_RANK)
         lenient = self._find_fitting_rank(_LOCAL_SHARE * share * slots)
-        self.local = min(self.value, lenient)
+        self.value = min(self.announced, lenient)
 
     def _find_fitting_rank(self, room: float) -> int:
         """Finds the lowest rank down to which demand fits.
