Share the fakes of directory and link with other packages

The routing tests had their own fakes of a directory, a link, a tracer, a gate and a controller. The first two are now in coltsfootspar.testing; the others give way to the null tracer and the baseline admission.

--- a/src/coltsfootspar/routing/tests/test_allowance.py
+++ b/src/coltsfootspar/routing/tests/test_allowance.py
@@ -9,13 +9,16 @@
 from hypothesis import given, settings, strategies as st
 from trio.testing import MockClock
 
+from coltsfootspar.admission import (
+    create_baseline_controller,
+    create_baseline_gate,
+)
 from coltsfootspar.calls import (
     CallContext,
     CallReply,
     CallRequest,
     Outcome,
     Priority,
-    Refusal,
 )
 from coltsfootspar.exceptions import BackendError, LinkError, RoutingError
 from coltsfootspar.node.interfaces import IncomingCall
@@ -23,6 +26,8 @@
 from coltsfootspar.routing import Candidate, create_router
 from coltsfootspar.table import create_matcher, create_table, parse_row_key
 from coltsfootspar.table.rows import create_row
+from coltsfootspar.telemetry import create_null_tracer
+from coltsfootspar.testing import FakeDirectory, FakeLink, create_refusal
 
 SETTINGS = settings(derandomize=True, max_examples=60, deadline=None)
 NODES_PER_SERVICE = 3
@@ -35,48 +40,6 @@
     return trio.run(function, *args, clock=MockClock(autojump_threshold=0))
 
 
-@attrs.define
-class PassAll:
-    """Gate, admission, permit and pass that let everything through."""
-
-    def admit(self, row, context):
-        return self
-
-    def close(self, reply):
-        pass
-
-    async def acquire(self, request, row):
-        return self
-
-    def release(self, service_seconds, *, succeeded):
-        pass
-
-    def get_signals(self):
-        return ()
-
-
-@attrs.define
-class Span:
-    span_id: str
-
-    def set_attribute(self, name, value):
-        pass
-
-    def __enter__(self):
-        return self
-
-    def __exit__(self, *exc_info):
-        pass
-
-
-@attrs.define
-class Tracer:
-    ids: itertools.count = attrs.field(factory=itertools.count)
-
-    def open_span(self, name, trace_id, parent_span_id):
-        return Span(f"{next(self.ids):016x}")
-
-
 @attrs.define
 class Graph:
     """A deployment whose service ``i`` calls the services ``children[i]``."""
@@ -95,7 +58,7 @@
         keys = [parse_row_key(f"s{i} GET /") for i in range(len(self.children))]
         rows = [create_row(key, retries=self.retries) for key in keys]
         self.matcher = create_matcher(create_table(rows))
-        tracer = Tracer()
+        tracer = create_null_tracer()
         for i, j in itertools.product(range(len(rows)), range(NODES_PER_SERVICE)):
             node_id = f"s{i}-{j}"
             router = create_router(node_id, "r", "a", self, self, self.source)
@@ -106,9 +69,9 @@
             self.pipelines[node_id] = create_pipeline(
                 node_id=node_id,
                 table=self,
-                gate=PassAll(),
+                gate=create_baseline_gate(),
                 router=router,
-                admission=PassAll(),
+                admission=create_baseline_controller(slots=100),
                 backend=Backend(self, i, node_id),
                 once=None,
                 tracer=tracer,
@@ -133,9 +96,8 @@
             raise LinkError("not sent", may_have_run=False)
         await trio.sleep(0.001)
         if failure == "refused":
-            refusal = Refusal("overload", 1.0)
             unused = request.context.allowance
-            return CallReply(503, (), b"", Outcome.NOT_RUN, refusal, unused)
+            return attrs.evolve(create_refusal("overload"), unused_allowance=unused)
         reply = await self.pipelines[node_id].serve(request)
         if failure == "lost":
             raise LinkError("lost", may_have_run=True)
@@ -270,47 +232,40 @@
     assert run_on_virtual_clock(send_request, graph) == 200
 
 
-RESULTS = st.lists(
-    st.sampled_from(("not-sent", "lost", "refused", "draining", "error", "ok")),
-    min_size=12,
-    max_size=12,
-)
+ANSWERS = {
+    "not-sent": LinkError("not sent", may_have_run=False),
+    "lost": LinkError("lost", may_have_run=True),
+    "refused": create_refusal("overload"),
+    "draining": create_refusal("draining"),
+    "error": CallReply(500),
+    "ok": CallReply(200),
+}
+RESULTS = st.lists(st.sampled_from(list(ANSWERS)), min_size=12, max_size=12)
 
 
 @SETTINGS
 @given(RESULTS, st.integers(0, 6))
 def test_once_rows_get_no_attempt_after_one_that_may_have_run(results, allowance):
     """Guards against double effects of payouts and bookings."""
-    sent = []
-
-    class Link:
-        async def call(self, node_id, request):
-            result = results[len(sent)]
-            sent.append(result)
-            await trio.sleep(0.001)
-            if result in ("not-sent", "lost"):
-                raise LinkError(result, may_have_run=result == "lost")
-            if result in ("refused", "draining"):
-                refusal = Refusal(result, 1.0)
-                return CallReply(503, (), b"", Outcome.NOT_RUN, refusal)
-            return CallReply(200 if result == "ok" else 500)
-
-    class Directory:
-        def list_candidates(self, service):
-            return [Candidate(f"n{i}", service, "r", "a", 10) for i in range(20)]
+    remaining = iter(results)
+    link = FakeLink(lambda node_id, request: ANSWERS[next(remaining)])
+    directory = FakeDirectory(
+        [Candidate(f"n{i}", "payouts", "r", "a", 10) for i in range(20)]
+    )
 
     async def send():
         row = create_row(parse_row_key("payouts POST /"), execution="once")
         deadline = trio.current_time() + 5
         context = CallContext("a" * 32, "", deadline, Priority(5, 1), allowance)
         request = CallRequest("payouts", "POST", "/", (), b"", context)
-        router = create_router("n", "r", "a", Directory(), Link(), random.Random(1))
+        router = create_router("n", "r", "a", directory, link, random.Random(1))
         try:
             return (await router.call(request, row)).outcome is not Outcome.NOT_RUN
         except RoutingError as error:
             return error.may_have_run
 
     may_have_run = run_on_virtual_clock(send)
+    sent = results[: len(link.sent)]
     ran = [result in ("lost", "error", "ok") for result in sent]
     assert not any(ran[:-1])
     assert may_have_run == ran[-1]
--- a/src/coltsfootspar/routing/tests/test_router.py
+++ b/src/coltsfootspar/routing/tests/test_router.py
@@ -1,6 +1,5 @@
 """Routing must keep to its limits whatever the nodes answer."""
 
-import collections
 import random
 
 import attrs
@@ -11,7 +10,6 @@
     CallContext,
     CallReply,
     CallRequest,
-    Outcome,
     Priority,
     Refusal,
 )
@@ -24,15 +22,16 @@
 from coltsfootspar.routing import Candidate, create_baseline_router, create_router
 from coltsfootspar.table import parse_row_key
 from coltsfootspar.table.rows import create_row
+from coltsfootspar.testing import FakeDirectory, FakeLink, create_refusal
 
 READ = create_row(parse_row_key("specs GET /specs/{id}"))
 LONG = create_row(parse_row_key("specs GET /summaries"))
 ONCE = create_row(parse_row_key("specs POST /specs"), execution="once")
 USUAL = 0.02
 OK = CallReply(200, reached=("specs",), service_seconds=USUAL)
-REFUSED = CallReply(503, outcome=Outcome.NOT_RUN, refusal=Refusal("overload", 1.0))
+REFUSED = create_refusal("overload")
 REFUSED_BELOW = CallReply(503, refusal=Refusal("overload", 1.0, below=True))
-DRAINING = CallReply(503, outcome=Outcome.NOT_RUN, refusal=Refusal("draining", 1.0))
+DRAINING = create_refusal("draining")
 FAILED = CallReply(500, reached=("specs",), service_seconds=0.001)
 LOST = LinkError("lost", may_have_run=True)
 NOT_SENT = LinkError("not sent", may_have_run=False)
@@ -47,45 +46,6 @@
 FAR = [create_candidate("z1", "c", "other")]
 
 
-@attrs.define
-class FakeDirectory:
-    candidates: list
-
-    def list_candidates(self, service):
-        return self.candidates
-
-
-@attrs.define
-class FakeLink:
-    """Answers by a function of node id and request; records the attempts."""
-
-    answer: object
-    sent: list = attrs.field(factory=list)
-    cancelled: list = attrs.field(factory=list)
-    error_seconds: float = 0.001
-
-    @property
-    def node_ids(self):
-        return [node_id for node_id, _ in self.sent]
-
-    def take_counts(self):
-        counts = collections.Counter(self.node_ids)
-        self.sent.clear()
-        return counts
-
-    async def call(self, node_id, request):
-        self.sent.append((node_id, request))
-        reply = self.answer(node_id, request)
-        try:
-            await trio.sleep(getattr(reply, "service_seconds", self.error_seconds))
-        except trio.Cancelled:
-            self.cancelled.append(node_id)
-            raise
-        if isinstance(reply, LinkError):
-            raise reply
-        return attrs.evolve(reply, unused_allowance=request.context.allowance)
-
-
 def create_parts(answer, candidates=LOCAL):
     link = FakeLink(answer)
     router = create_router(
