Release the request of a call whose hedge is not needed

The timer kept the request, with a body of up to 16 MiB, until the hedge would have been due: for a row with calls of 30 s, 30 s after its reply. Now it is released as soon as the call has ended.

--- a/src/coltsfootspar/routing/hedging.py
+++ b/src/coltsfootspar/routing/hedging.py
@@ -62,19 +62,25 @@
     """
 
     race: Race
-    _start: Callable[[Race], Awaitable[None]]
+    _start: Callable[[Race], Awaitable[None]] | None
     _scope: trio.CancelScope = attrs.field(factory=trio.CancelScope)
 
     def cancel(self) -> None:
         """Ends the hedge or keeps it from starting."""
         self.race.over.set()
         self._scope.cancel()
+        # The timer keeps the hedge until it would be due; the request with its
+        # body is not kept that long.
+        self._start = None
 
     async def run(self) -> None:
-        """Runs the second attempt."""
+        """Runs the second attempt unless it was cancelled."""
+        start = self._start
+        if start is None:
+            return
         with self._scope:
             try:
-                await self._start(self.race)
+                await start(self.race)
             except Exception as error:
                 # The caller raises it; the hedges of others go on.
                 self.race.fail(error)
