--- a/src/coltsfootspar/replication/tests/test_failures.py
+++ b/src/coltsfootspar/replication/tests/test_failures.py
@@ -1,11 +1,16 @@
 """Losses of hosts, disks and links must cost no accepted change."""
 
+import random
+
 import attrs
 import pytest
 import trio
 
-from coltsfootspar.exceptions import NoQuorumError
+from coltsfootspar.exceptions import NoQuorumError, ReplicationError
 from coltsfootspar.replication import ChangeStatus, ReplicaOptions
+from coltsfootspar.replication.commands import Entry, NoOperation
+from coltsfootspar.replication.leadership import create_leadership
+from coltsfootspar.replication.messages import VoteRequest
 from coltsfootspar.replication.tests.harness import (
     ROW,
     list_contents,
@@ -14,6 +19,8 @@
 )
 from coltsfootspar.table import CellEdit
 from coltsfootspar.testing import LinkState
+from coltsfootspar.timers import create_timer_service
+from coltsfootspar.wire import FrameKind, replication as codec
 
 SMALL_SNAPSHOTS = ReplicaOptions(snapshot_entries=20, snapshot_share=0)
 
@@ -338,6 +345,31 @@
         assert versions == sorted(set(versions))
 
 
+async def test_replica_that_is_catching_up_is_not_read_as_current(autojump_clock):
+    async with open_cluster(options=SMALL_SNAPSHOTS) as cluster:
+        client = cluster.create_client()
+        versions = await make_changes(client, 60)
+        lost = next(n for n in cluster.replica_ids if n != cluster.find_leader())
+        order = [lost, *(n for n in cluster.replica_ids if n != lost)]
+        cluster.network.default = LinkState(delay=0.02)
+        await cluster.replace_disk(lost)
+        while not cluster.replicas[lost].status().is_current:
+            # A new node has seen no version that would tell it of an old table.
+            table = await cluster.create_client("new", order=order).read_table()
+            assert table.version == versions[-1]
+        assert cluster.replicas[lost].read_table().version == versions[-1]
+
+
+async def test_change_that_is_too_large_is_refused_before_it_is_sent(autojump_clock):
+    async with open_cluster(1) as cluster:
+        client = cluster.create_client()
+        edits = set_retries(1) * 70_000
+        with pytest.raises(ReplicationError) as caught:
+            await client.edit_cells(edits, "ana")
+        assert caught.value.code == "command-size"
+        await make_changes(client, 1)
+
+
 async def test_reads_are_served_without_a_majority(autojump_clock):
     async with open_cluster() as cluster:
         client = cluster.create_client()
@@ -379,3 +411,93 @@
         await trio.sleep(30)
         assert cluster.find_leader() == leader
         await check_history(cluster, client, versions)
+
+
+async def test_leader_counts_itself_only_after_its_own_sync(autojump_clock):
+    # One follower alone is no majority, even if it has synced already.
+    async with open_cluster() as cluster:
+        client = cluster.create_client(timeout=20)
+        await make_changes(client, 1)
+        leader = cluster.find_leader()
+        await cluster.crash(next(n for n in cluster.replica_ids if n != leader))
+        cluster.disks[leader].latency = 1.5
+        (version,) = await make_changes(client, 1)
+        assert cluster.replicas[leader].core.log.synced_index >= version
+
+
+async def test_entry_of_an_earlier_term_is_not_committed_by_counting(autojump_clock):
+    # A later leader that lacks the entry could still replace it.
+    async with open_cluster() as cluster:
+        await cluster.wait_leader()
+        await cluster.wait_equal()
+        name = next(n for n in cluster.replica_ids if n != cluster.find_leader())
+        core = cluster.replicas[name].core
+        for other in cluster.replica_ids:
+            cluster.isolate(other)
+        index = core.log.last_index + 1
+        core.log.append(
+            [Entry(index, core.term, 0, codec.encode_command(NoOperation()))]
+        )
+        await core.log.wait_synced()
+        await core.start_candidacy(core.term + 1)
+        leadership = create_leadership(core, create_timer_service(random.Random(1)))
+        for peer in leadership._peers.values():
+            peer.match_index, peer.is_admitted, peer.incarnation = index, True, 0
+        leadership.advance()
+        assert core.commit_index < index
+        own = Entry(index + 1, core.term, 0, codec.encode_command(NoOperation()))
+        core.log.append([own])
+        await core.log.wait_synced()
+        for peer in leadership._peers.values():
+            peer.match_index = index + 1
+        leadership.advance()
+        assert core.commit_index == index + 1
+
+
+async def test_vote_is_given_once_in_a_term_and_only_to_a_log_that_suffices(
+    autojump_clock,
+):
+    async with open_cluster() as cluster:
+        await make_changes(cluster.create_client(), 2)
+        await cluster.wait_equal()
+        name = next(n for n in cluster.replica_ids if n != cluster.find_leader())
+        others = [n for n in cluster.replica_ids if n != name]
+        for other in cluster.replica_ids:
+            cluster.isolate(other)
+
+        async def ask(candidate_id, term, lag=0):
+            log = cluster.replicas[name].core.log
+            request = VoteRequest(
+                term, candidate_id, log.last_index - lag, log.last_term
+            )
+            message = codec.encode_vote(FrameKind.VOTE, request)
+            reply = await cluster.replicas[name].handle(candidate_id, message)
+            return codec.decode_vote_reply(reply).is_granted
+
+        assert not await ask(others[0], 50, lag=1)
+        assert await ask(others[0], 50)
+        assert not await ask(others[1], 50)
+        await cluster.restart(name)
+        assert not await ask(others[1], 50)
+        assert await ask(others[0], 50)
+        assert not await ask(others[1], 49)
+
+
+async def test_damaged_snapshot_of_the_leader_is_not_spread(autojump_clock):
+    async with open_cluster(options=SMALL_SNAPSHOTS) as cluster:
+        client = cluster.create_client()
+        leader = await cluster.wait_leader()
+        behind = next(name for name in cluster.replica_ids if name != leader)
+        await cluster.crash(behind)
+        versions = await make_changes(client, 1100)
+        await trio.sleep(1)
+        disk = cluster.disks[leader]
+        (name,) = [n for n in disk.list_names() if n.startswith("snapshot-")]
+        disk.flip_bit(name, disk.get_size(name) // 2)
+        await cluster.start(behind)
+        await wait_until(lambda: leader in cluster.errors, 10)
+        assert cluster.errors[leader].code == "corrupt-log"
+        assert list(cluster.errors) == [leader]
+        await cluster.replace_disk(leader)
+        versions += await make_changes(client, 3)
+        await check_history(cluster, client, versions[-900:])
--- a/src/coltsfootspar/routing/attempts.py
+++ b/src/coltsfootspar/routing/attempts.py
@@ -5,7 +5,8 @@
 import attrs
 import trio
 
-from coltsfootspar.calls import CallReply, CallRequest
+from coltsfootspar.admission.ranks import compute_rank, create_threshold
+from coltsfootspar.calls import CallReply, CallRequest, Priority
 from coltsfootspar.exceptions import (
     AttemptsExhaustedError,
     DeadlineError,
@@ -55,6 +56,11 @@
     _in_flight: int = 0
     _may_have_run: AttemptResult | None = None
 
+    @property
+    def _rank(self) -> Priority:
+        """Place of the call on the scale of the thresholds in signals."""
+        return create_threshold(compute_rank(self._request.context))
+
     async def run(self) -> CallReply:
         """Makes attempts until one succeeds or no other is allowed.
 
@@ -72,7 +78,10 @@
     async def _run_attempts(self) -> CallReply:
         destination = self._select_first()
         if destination is None:
-            raise NoCandidateError(f"no backend server offers {self._request.service}")
+            raise NoCandidateError(
+                f"no backend server offers {self._request.service}",
+                may_have_run=False,
+            )
         while True:
             result = await self._attempt(destination)
             if not result.is_failed:
@@ -95,7 +104,7 @@
         self, now: float, *, again: bool = False, is_refused: bool = False
     ) -> Destination | None:
         return self._service.select(
-            self._request.context.priority,
+            self._rank,
             now,
             excluded=frozenset() if again else self._tried,
             is_local=self._request.is_spilled,
@@ -140,7 +149,7 @@
         return self._select(trio.current_time(), again=True)
 
     def _is_full(self, destination: Destination, now: float) -> bool:
-        return destination.is_full(self._request.context.priority, now)
+        return destination.is_full(self._rank, now)
 
     async def _attempt(self, destination: Destination) -> AttemptResult:
         granted = self._grant()
@@ -195,7 +204,7 @@
         self._tried.add(destination.node_id)
         sent = self._create_attempt(destination, granted)
         attempt = Attempt(self._statistics, trio.current_time())
-        destination.calls.add(attempt)
+        destination.calls[attempt] = None
         self._in_flight += 1
         try:
             result = AttemptResult(await self._link.call(destination.node_id, sent))
@@ -206,7 +215,7 @@
             self._record_cancelled(destination, attempt)
             raise
         finally:
-            destination.calls.discard(attempt)
+            destination.calls.pop(attempt, None)
         self._in_flight -= 1
         self._take_back(result, granted)
         self._record(destination, attempt, result)
@@ -289,8 +298,7 @@
                 service.record_overload(until)
                 return
         if result.is_overloaded:
-            priority = self._request.context.priority
-            service.record_overload(destination.record_refusal(priority, now))
+            service.record_overload(destination.record_refusal(self._rank, now))
         elif not result.is_refused:
             destination.clear_floor()
 
--- a/src/coltsfootspar/wire/connection.py
+++ b/src/coltsfootspar/wire/connection.py
@@ -19,6 +19,7 @@
     encode_frame,
 )
 from coltsfootspar.wire.handshake import Identity, Peer, shake_hands
+from coltsfootspar.wire.locks import hold_lock
 from coltsfootspar.wire.schemas import decode_struct, load_schema
 
 __all__ = [
@@ -81,6 +82,7 @@
     Both ends may send requests. :meth:`run` has to be running.
 
     :param peer: the other end.
+    :param failure: set when the peer sent something malformed.
     """
 
     peer: Peer
@@ -94,7 +96,9 @@
     _pending: dict[int, _Pending] = attrs.field(factory=dict)
     _partials: dict[tuple[int, bool], _Partial] = attrs.field(factory=dict)
     _serving: dict[int, trio.CancelScope] = attrs.field(factory=dict)
+    _requested: trio.Event = attrs.field(factory=trio.Event)
     _last_received: float = attrs.field(factory=trio.current_time)
+    failure: FrameError | None = None
     _closed: bool = False
 
     @property
@@ -125,6 +129,7 @@
         correlation = next(self._ids) & 0xFFFFFFFF
         pending = _Pending()
         self._pending[correlation] = pending
+        self._requested.set()
         try:
             await self._send_message(message, FrameFlag.NONE, correlation, pending)
             await pending.done.wait()
@@ -196,7 +201,7 @@
             await self._send_bytes(frame, pending)
 
     async def _send_bytes(self, data: bytes, pending: _Pending) -> None:
-        async with self._send_lock:
+        async with hold_lock(self._send_lock):
             if self._closed:
                 raise LinkError("connection is closed", may_have_run=pending.is_written)
             pending.is_written = True
@@ -217,7 +222,7 @@
         limits = self._limits
         unanswered_ping: float | None = None
         while not self._closed:
-            await trio.sleep(limits.heartbeat)
+            await self._pause_heartbeats(is_waiting=unanswered_ping is not None)
             now = trio.current_time()
             if unanswered_ping is not None and self._last_received >= unanswered_ping:
                 unanswered_ping = None
@@ -230,6 +235,16 @@
                 unanswered_ping = now
                 await self._send_control(FrameKind.PING, 0)
 
+    async def _pause_heartbeats(self, *, is_waiting: bool) -> None:
+        limits = self._limits
+        if is_waiting or self._pending or self._requested.is_set():
+            self._requested = trio.Event()
+            await trio.sleep(limits.heartbeat)
+            return
+        # Hundreds of idle connections must not wake the process twice a second.
+        with trio.move_on_after(limits.idle_heartbeat):
+            await self._requested.wait()
+
     async def _send_control(self, kind: FrameKind, correlation: int) -> None:
         with contextlib.suppress(LinkError):
             frame = encode_frame(kind, FrameFlag.NONE, correlation)
@@ -240,6 +255,7 @@
             await self._read_stream(nursery)
         except FrameError as error:
             logging.warning("Closing connection to %s: %s", self.peer, error)
+            self.failure = error
             await self.close(str(error))
 
     async def _read_stream(self, nursery: trio.Nursery) -> None:
