--- a/src/coltsfootspar/routing/attempts.py
+++ b/src/coltsfootspar/routing/attempts.py
@@ -31,7 +31,7 @@
 # forwarded without end.
 FREE_REROUTES = 2
 # A hedge that starts earlier than this many medians can seldom win.
-HEDGE_MEDIANS = 1.5
+HEDGE_MEDIANS = 1.0
 
 
 @attrs.define(eq=False)
--- a/src/coltsfootspar/routing/ejection.py
+++ b/src/coltsfootspar/routing/ejection.py
@@ -9,7 +9,7 @@
 
 __all__ = ["StragglerWatch"]
 
-EJECT_LOG = math.log(3)
+EJECT_LOG = math.log(2.5)
 READMIT_LOG = math.log(2)
 MIN_SAMPLES = 5
 FRESH_SECONDS = 10.0
