Raise a lowered concurrency limit after few normal calls

Cause: a window needs 40 compared calls; at a limit of four slots and 160 ms a call that is 1.6 s for each step back up after a slow-down. Change: while the limit is lowered and calls take their usual time, 8 suffice.

--- a/src/coltsfootspar/admission/limits.py
+++ b/src/coltsfootspar/admission/limits.py
@@ -14,6 +14,7 @@
 
 _MIN_WINDOW_SECONDS = 0.1
 _MIN_WINDOW_SAMPLES = 40
+_MIN_RISE_SAMPLES = 8
 _MAX_WINDOW_SECONDS = 5.0
 
 # Latency over its expected value at which the limit falls or rises. The mean of
@@ -150,13 +151,22 @@
         elapsed = now - window.start
         if elapsed >= _MAX_WINDOW_SECONDS:
             return True
-        if max(window.compared, window.failures) < _MIN_WINDOW_SAMPLES:
+        if max(window.compared, window.failures) < self._count_needed(window):
             return False
         # Calls that began under the previous limit must not decide about the
         # present one.
         mean = window.own_seconds / max(1, window.compared)
         return elapsed >= max(_MIN_WINDOW_SECONDS, 2 * mean)
 
+    def _count_needed(self, window: _Window) -> int:
+        """Counts the calls that a window needs; few suffice to raise the limit."""
+        usual = window.expected_seconds * self._scale
+        is_lowered = self._limit < self.slots * self._ceiling
+        is_normal = 0 < window.own_seconds <= _NORMAL_RATIO * usual
+        if is_lowered and is_normal and window.failures == 0:
+            return _MIN_RISE_SAMPLES
+        return _MIN_WINDOW_SAMPLES
+
     def _adapt(self, window: _Window) -> bool:
         if window.failures > _FAILING_SHARE * window.samples:
             self._decrease()
--- a/src/coltsfootspar/admission/tests/test_limits.py
+++ b/src/coltsfootspar/admission/tests/test_limits.py
@@ -50,3 +50,12 @@
     limits += run_calls(limiter, lambda n: USUAL / 2, 200.0, 20.0)
     assert min(limits) == SLOTS // 4
     assert max(limits) == limits[-1] == SLOTS * ceiling
+
+
+def test_rises_after_few_normal_calls():
+    """Guards against a low limit that lasts because few calls end under it."""
+    limiter = create_limiter(6, 0.0, now=0.0)
+    run_calls(limiter, lambda n: USUAL * max(1, n / 2), 0.0, 30.0)
+    assert limiter.compute_limit(30.0) < 6
+    normal = run_calls(limiter, lambda n: USUAL, 30.0, 2.0)
+    assert normal[-1] == 6
