Tighten the test of the rising limit

Cause: the test passed without the change that it guards. Change: the limit must be back after 1.2 s. Result: fails with the previous limiter (5 of 6 slots), passes with the present.

--- a/src/coltsfootspar/admission/tests/test_limits.py
+++ b/src/coltsfootspar/admission/tests/test_limits.py
@@ -57,5 +57,5 @@
     limiter = create_limiter(6, 0.0, now=0.0)
     run_calls(limiter, lambda n: USUAL * max(1, n / 2), 0.0, 30.0)
     assert limiter.compute_limit(30.0) < 6
-    normal = run_calls(limiter, lambda n: USUAL, 30.0, 2.0)
+    normal = run_calls(limiter, lambda n: USUAL, 30.0, 1.2)
     assert normal[-1] == 6
