--- a/src/coltsfootspar/bench/measures.py
+++ b/src/coltsfootspar/bench/measures.py
@@ -96,7 +96,7 @@
         if now_share >= share * (1 - _RECOVERY_TOLERANCE) and now_p99 <= p99 * (
             1 + _RECOVERY_TOLERANCE
         ):
-            return float(start - overload.to_s)
+            return round(float(start - overload.to_s), 3)
     return scenario.duration_s - overload.to_s
 
 
