--- a/src/coltsfootspar/conftest.py
+++ b/src/coltsfootspar/conftest.py
@@ -1,11 +1,13 @@
-"""Makes every test run the same way each time."""
+"""Makes every test run the same way each time and accounts for known failures."""
 
+import pathlib
 import random
-from pathlib import Path
 
 import pytest
 import trio
 
+_KNOWN_RED = pathlib.Path(__file__).parents[2] / "KNOWN-RED.txt"
+
 
 @pytest.fixture(autouse=True)
 def seed_scheduler(monkeypatch):
@@ -18,23 +20,27 @@
     monkeypatch.setattr(trio._core._run, "_r", random.Random(0))
 
 
-def pytest_collection_modifyitems(items):
-    """Turns tests marked ``known_red`` into strict expected failures.
+def list_known_red():
+    """Lists the names of the entries in KNOWN-RED.txt."""
+    if not _KNOWN_RED.exists():
+        return []
+    lines = _KNOWN_RED.read_text().splitlines()
+    return [line.removeprefix("entry: ") for line in lines if "entry: " in line]
 
-    Their entry must be in KNOWN-RED.txt, so that no failure is hidden.
-    """
-    entries = _read_known_red()
+
+def pytest_collection_modifyitems(items):
+    """Turns ``known_red`` into a strict expected failure that names its entry."""
+    entries = list_known_red()
     for item in items:
-        for mark in item.iter_markers("known_red"):
-            entry = mark.args[0]
+        for marker in item.iter_markers("known_red"):
+            entry = marker.args[0]
             if entry not in entries:
-                raise pytest.UsageError(f"KNOWN-RED.txt has no entry {entry!r}")
-            item.add_marker(pytest.mark.xfail(strict=True, reason=entry))
+                raise pytest.UsageError(f"{entry!r} is not in KNOWN-RED.txt")
+            reason = f"KNOWN-RED.txt: {entry}"
+            item.add_marker(pytest.mark.xfail(strict=True, reason=reason))
 
 
-def _read_known_red():
-    path = Path(__file__).parents[2] / "KNOWN-RED.txt"
-    if not path.exists():
-        return set()
-    lines = path.read_text(encoding="utf-8").splitlines()
-    return {line[1:-1] for line in lines if line.startswith("[")}
+def pytest_terminal_summary(terminalreporter):
+    """Prints the entries of KNOWN-RED.txt after each run."""
+    for entry in list_known_red():
+        terminalreporter.write_line(f"known red: {entry}")
