Count the nodes that share a row's limits only after a change

Cause: every call at the entry counted all members, which at 920 members costs more than the rest of the check. Change: the count is kept until the member list changes; two frame kinds that nothing uses are gone. Measured: tests of node and admission pass.

--- a/src/coltsfootspar/node/assembly.py
+++ b/src/coltsfootspar/node/assembly.py
@@ -12,6 +12,7 @@
 from coltsfootspar.claims import OnceExecutor, create_once_executor
 from coltsfootspar.exceptions import FrameError
 from coltsfootspar.membership import (
+    Member,
     Membership,
     NodeIdentity,
     create_membership,
@@ -301,11 +302,17 @@
     """Counts the nodes that share the limits of a row."""
 
     _membership: Membership
+    _members: tuple[Member, ...] | None = None
+    _count: int = 1
 
     def count(self, row: object) -> int:
         """Counts the members that are present; any may take entry traffic."""
         members = self._membership.list_members()
-        return max(1, sum(member.is_present for member in members))
+        # Counted anew only when the list has changed: it is asked for each call.
+        if members is not self._members:
+            self._members = members
+            self._count = max(1, sum(member.is_present for member in members))
+        return self._count
 
 
 def _create_tls(settings: NodeSettings) -> TlsContexts | None:
--- a/src/coltsfootspar/wire/frames.py
+++ b/src/coltsfootspar/wire/frames.py
@@ -53,8 +53,6 @@
     INDIRECT_PROBE = 34
     UPDATES = 35
     DIGEST = 36
-    MEMBER_SYNC = 37
-    MEMBER_SYNC_REPLY = 38
 
     PRE_VOTE = 48
     VOTE = 49
