--- a/src/coltsfootspar/bench/deployment.py
+++ b/src/coltsfootspar/bench/deployment.py
@@ -23,8 +23,8 @@
 
 __all__ = ["HostPlan", "HttpAnswer", "LocalDeployment", "create_deployment", "wait_for"]
 
-_START_SECONDS = 30.0
-_STOP_SECONDS = 30.0
+_START_SECONDS = 60.0
+_STOP_SECONDS = 60.0
 _POLL_SECONDS = 0.05
 _REQUEST_SECONDS = 30.0
 _OK = 200
