Keep a relay running when a data centre becomes known

Cause: a relay iterated over its outboxes while sending; when another data centre became known meanwhile, the node ended with RuntimeError. Change: iterate over a copy. Ports of local deployments lie below the range from which the kernel takes ports for connections.

--- a/src/coltsfootspar/bench/deployment.py
+++ b/src/coltsfootspar/bench/deployment.py
@@ -7,6 +7,7 @@
 import http.client
 import json
 import pathlib
+import random
 import secrets
 import signal
 import socket
@@ -28,6 +29,7 @@
 _POLL_SECONDS = 0.05
 _REQUEST_SECONDS = 30.0
 _OK = 200
+_PORTS = range(10_000, 32_000)
 
 
 @attrs.frozen
@@ -305,11 +307,29 @@
 
 
 def _find_ports(count: int) -> list[int]:
-    with contextlib.ExitStack() as stack:
-        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for item in sockets:
-            item.bind(("127.0.0.1", 0))
-        return [item.getsockname()[1] for item in sockets]
+    """Finds free ports below those that the kernel gives to connections.
+
+    A port of the kernel's range may be taken by a connection before the process
+    that it was meant for listens on it.
+    """
+    found: list[int] = []
+    candidates = random.SystemRandom().sample(_PORTS, len(_PORTS))
+    for port in candidates:
+        if len(found) == count:
+            break
+        if _is_free(port):
+            found.append(port)
+    return found
+
+
+def _is_free(port: int) -> bool:
+    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+        with socket.socket(socket.AF_INET, kind) as item:
+            try:
+                item.bind(("127.0.0.1", port))
+            except OSError:
+                return False
+    return True
 
 
 @contextlib.contextmanager
--- a/src/coltsfootspar/bench/tests/test_bounds.py
+++ b/src/coltsfootspar/bench/tests/test_bounds.py
@@ -51,11 +51,8 @@
 # Names of entries in KNOWN-RED.txt by scenario and measure.
 KNOWN_RED = {
     ("overload-2x", "goodput_ratio"): "overload-2x-goodput",
-    ("overload-2x", "recovery_seconds"): "overload-2x-recovery",
     ("recovery", "recovery_seconds"): "recovery-seconds",
     ("recovery", "wasted_work_ratio"): "recovery-wasted",
-    ("kikapu", "recovery_seconds"): "kikapu-recovery",
-    ("kikapu", "importance_inversions"): "kikapu-inversions",
     ("kikapu", "wasted_work_ratio"): "kikapu-wasted",
 }
 
--- a/src/coltsfootspar/membership/gossip.py
+++ b/src/coltsfootspar/membership/gossip.py
@@ -43,7 +43,8 @@
         while True:
             await view.wait_remote_filled()
             await trio.sleep(view.limits.gossip_period)
-            for data_centre, outbox in view.remote_outboxes.items():
+            # A data centre may become known while a datagram is sent.
+            for data_centre, outbox in tuple(view.remote_outboxes.items()):
                 if outbox:
                     await self._send_remote(data_centre, outbox)
 
