--- a/src/coltsfootspar/bench/capacity/report.py
+++ b/src/coltsfootspar/bench/capacity/report.py
@@ -146,6 +146,10 @@
         value = slope.compute_at(TARGET_NODES)
         return Finding(name, unit, value, slope.spread, budget)
 
+    # A line through noise may fall; the target is no faster than what was seen.
+    slowest = max(max(point.in_force_seconds) for point in report.control)
+    in_force = max(slowest, slopes.in_force_seconds.compute_at(TARGET_NODES))
+
     return [
         Finding(
             "latency added at p99, two nodes",
@@ -161,10 +165,11 @@
             0.0,
             BUDGET_ADDED_MS,
         ),
-        project(
+        Finding(
             "edit in force at the last node",
             "s",
-            slopes.in_force_seconds,
+            in_force,
+            slopes.in_force_seconds.spread,
             BUDGET_IN_FORCE_SECONDS,
         ),
         project(
