--- /dev/null
+++ b/src/coltsfootspar/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Programs for hosts that find each other through seeds."""
--- /dev/null
+++ b/src/coltsfootspar/fleet/common.py
@@ -0,0 +1,99 @@
+"""What both programs share: identity, membership, metrics page."""
+
+import random
+import signal
+import time
+from collections.abc import AsyncIterator, Callable
+
+import attrs
+import trio
+from absl import logging
+
+from coltsfootspar.membership import Membership, NodeIdentity, create_membership
+from coltsfootspar.membership.ports import UdpPort
+from coltsfootspar.relay import Exchange
+from coltsfootspar.settings.fleet import FleetNodeSettings, FleetReplicaSettings
+from coltsfootspar.timers import TimerService
+from coltsfootspar.wire import Address, Identity
+
+__all__ = [
+    "DEPLOYMENT",
+    "create_fleet_identity",
+    "create_fleet_membership",
+    "create_metrics_handler",
+    "get_peer_address",
+    "wait_for_stop",
+]
+
+DEPLOYMENT = "coltsfootspar"
+_METRICS_TYPE = [(b"Content-Type", b"text/plain; version=0.0.4")]
+
+Settings = FleetNodeSettings | FleetReplicaSettings
+
+
+def create_fleet_identity(settings: Settings, process_id: str, role: str) -> Identity:
+    """Creates the identity of a process on internal connections."""
+    key = bytes.fromhex(settings.shared_key)
+    return Identity(DEPLOYMENT, process_id, role, key)
+
+
+def get_peer_address(settings: Settings, seed: Address) -> Address:
+    """Returns where the process at a seed serves the internal protocol."""
+    return Address(seed.host, settings.peer_port)
+
+
+def create_fleet_membership(
+    settings: Settings,
+    port: UdpPort,
+    peer_address: Address,
+    timers: TimerService,
+    source: random.Random,
+) -> Membership:
+    """Creates the membership of a process.
+
+    :param peer_address: where others reach it over TCP.
+    """
+    identity = NodeIdentity(
+        settings.id,
+        settings.region,
+        settings.data_centre,
+        Address(settings.host, settings.gossip_port),
+        peer_address,
+        time.time_ns() // 1_000_000,
+    )
+    seeds = [
+        Address(seed.host, settings.gossip_port)
+        for seed in settings.seeds
+        if seed.host != settings.host
+    ]
+    key = bytes.fromhex(settings.shared_key)
+    return create_membership(identity, seeds, port, key, timers, source)
+
+
+def create_metrics_handler(render: Callable[[], bytes]):
+    """Creates the handler of the metrics page."""
+
+    async def handle(exchange: Exchange) -> None:
+        await exchange.answer(200, _METRICS_TYPE, render())
+
+    return handle
+
+
+async def wait_for_stop(signals: AsyncIterator[int]) -> None:
+    """Waits for SIGTERM or SIGINT; SIGHUP is logged."""
+    async for number in signals:
+        logging.info("Received %s", signal.Signals(number).name)
+        if number != signal.SIGHUP:
+            return
+
+
+@attrs.frozen
+class Stopwatch:
+    """Measures the time since its creation on the trio clock."""
+
+    start: float = attrs.field(factory=trio.current_time)
+
+    @property
+    def seconds(self) -> float:
+        """Time since the creation, seconds."""
+        return trio.current_time() - self.start
--- /dev/null
+++ b/src/coltsfootspar/fleet/node.py
@@ -0,0 +1,270 @@
+"""Runs a node beside a backend server."""
+
+import random
+import signal
+
+import attrs
+import trio
+from absl import logging
+
+from coltsfootspar.fleet.common import (
+    create_fleet_identity,
+    create_fleet_membership,
+    create_metrics_handler,
+    get_peer_address,
+    wait_for_stop,
+)
+from coltsfootspar.fleet.control import NodeControl, create_control_handler
+from coltsfootspar.fleet.interfaces import Dialect
+from coltsfootspar.fleet.metrics import FleetMetrics, create_fleet_metrics
+from coltsfootspar.fleet.routecopy import RouteCopy, create_route_copy
+from coltsfootspar.fleet.seats import SEAT_SERVICE, name_seats
+from coltsfootspar.membership import Membership, open_udp_port
+from coltsfootspar.relay import (
+    BackendServer,
+    CallReceiver,
+    Exchange,
+    Forwarder,
+    RelayServer,
+    ShareKeeper,
+    create_backend_server,
+    create_placement,
+    create_relay_server,
+    create_repeat_budget,
+)
+from coltsfootspar.replication import ReplicationClient, create_replication_client
+from coltsfootspar.routing import Candidate, PeerLinks, create_peer_links
+from coltsfootspar.settings.fleet import FleetNodeSettings
+from coltsfootspar.timers import TimerService, create_timer_service
+from coltsfootspar.wire import Address
+
+__all__ = ["run_fleet_node"]
+
+_SWEEP_PERIOD = 1.0
+# After SIGTERM callers are still sent here until the host has asked twice in vain.
+_TAKEN_OUT_SECONDS = 2.3
+# Part of the grace time in which the requests in progress may end.
+_FINISH_SHARE = 0.9
+_READY = [(b"Content-Type", b"text/plain")]
+
+
+@attrs.define(eq=False)
+class FleetDirectory:
+    """Nodes and replicas as the membership knows them.
+
+    :param peer_port: internal port of all processes, for replicas at the seeds.
+    """
+
+    _settings: FleetNodeSettings
+    _membership: Membership
+
+    def list_candidates(self, service: str) -> tuple[Candidate, ...]:
+        """Lists the reachable nodes whose backend server offers a service."""
+        return self._membership.list_candidates(service)
+
+    def find_address(self, node_id: str) -> Address | None:
+        """Returns where a node takes calls of other nodes."""
+        member = self._membership.get_member(node_id)
+        return member.peer_address if member is not None else None
+
+    def find_replica(self, seat: str) -> Address | None:
+        """Returns where the replica that holds a seat is to be reached."""
+        holders = [
+            self._membership.get_member(candidate.node_id)
+            for candidate in self.list_candidates(SEAT_SERVICE + seat)
+        ]
+        if holders:
+            return max(holders, key=lambda member: member.incarnation).peer_address
+        # Before anything is known, the seats are at the seeds of the first start.
+        seats = name_seats(len(self._settings.seeds))
+        seeds = sorted(self._settings.seeds, key=str)
+        return get_peer_address(self._settings, seeds[seats.index(seat)])
+
+
+@attrs.define(eq=False)
+class FleetNode:
+    """All parts of a node."""
+
+    settings: FleetNodeSettings
+    timers: TimerService
+    membership: Membership
+    links: PeerLinks
+    client: ReplicationClient
+    routes: RouteCopy
+    backend: BackendServer
+    forwarder: Forwarder
+    outbound: RelayServer
+    inbound: RelayServer
+    control: RelayServer
+    ready: RelayServer
+    metrics: RelayServer
+    is_stopping: bool = False
+
+    async def run(self) -> int:
+        """Runs until SIGTERM or SIGINT.
+
+        :returns: exit code; 0 when no request was cut.
+        """
+        settings = self.settings
+        own = settings.host
+        numbers = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+        with trio.open_signal_receiver(*numbers) as signals:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self.timers.run)
+                nursery.start_soon(self.links.run)
+                nursery.start_soon(self.membership.run)
+                nursery.start_soon(self.routes.follow, self.client)
+                nursery.start_soon(self._sweep)
+                await nursery.start(self.control.serve, settings.control)
+                await nursery.start(self.inbound.serve, settings.inbound)
+                await nursery.start(self.outbound.serve, settings.outbound)
+                await nursery.start(self.ready.serve, settings.ready)
+                address = Address(own, settings.metrics_port)
+                await nursery.start(self.metrics.serve, address)
+                logging.info("Node %s has started", settings.id)
+                await wait_for_stop(signals)
+                is_clean = await self._stop()
+                await self.membership.depart()
+                nursery.cancel_scope.cancel()
+        logging.info("Node %s has stopped, clean: %s", settings.id, is_clean)
+        return 0 if is_clean else 3
+
+    async def answer_ready(self, exchange: Exchange) -> None:
+        """Tells the host whether the node takes requests."""
+        is_ready = self.routes.version > 0 and not self.is_stopping
+        await exchange.answer(200 if is_ready else 503, _READY, b"")
+
+    async def _stop(self) -> bool:
+        self.is_stopping = True
+        self.membership.leave()
+        self.outbound.is_draining = True
+        self.inbound.is_draining = True
+        finish = self.settings.bounds.grace_seconds * _FINISH_SHARE
+        with trio.move_on_after(finish):
+            await trio.sleep(_TAKEN_OUT_SECONDS)
+            self.outbound.close_idle()
+            await self.outbound.drain()
+            await self.inbound.drain()
+            return True
+        cut = len(self.outbound.exchanges) + len(self.inbound.exchanges)
+        logging.warning("Stopped with %d requests in progress", cut)
+        return False
+
+    async def _sweep(self) -> None:
+        async for now in self.timers.subscribe(_SWEEP_PERIOD):
+            self.backend.check(now)
+            self.forwarder.drop_idle(now)
+            members = self.membership.list_members()
+            present = {member.node_id for member in members if member.is_present}
+            self.forwarder.forget_nodes(present)
+            limits = self.routes.table.limits
+            self.outbound.limits = limits
+            self.inbound.limits = attrs.evolve(
+                limits, header_bytes=2 * limits.header_bytes
+            )
+
+
+@attrs.define(eq=False)
+class _BackendAnnouncer:
+    """Tells other nodes what the own backend server offers."""
+
+    _membership: Membership
+    backend: BackendServer | None = None
+
+    def announce(self) -> None:
+        """Spreads the present state of the backend server."""
+        report = self.backend.report
+        if not self.backend.service:
+            self._membership.withdraw()
+            return
+        self._membership.announce(report.service, report.slots, report.warm_in)
+
+
+async def run_fleet_node(settings: FleetNodeSettings, dialect: Dialect) -> int:
+    """Runs a node until SIGTERM or SIGINT.
+
+    :returns: exit code; 0 when no request was cut.
+    :raises OSError: when an address cannot be listened on.
+    """
+    async with open_udp_port(Address(settings.host, settings.gossip_port)) as port:
+        return await _create_node(settings, dialect, port).run()
+
+
+def _create_node(settings: FleetNodeSettings, dialect: Dialect, port) -> FleetNode:
+    source = random.SystemRandom()
+    timers = create_timer_service(source)
+    membership = create_fleet_membership(
+        settings, port, settings.inbound, timers, source
+    )
+    directory = FleetDirectory(settings, membership)
+    links = create_peer_links(
+        create_fleet_identity(settings, settings.id, "node"), directory.find_replica
+    )
+    seats = list(name_seats(len(settings.seeds)))
+    source.shuffle(seats)
+    client = create_replication_client(seats, links, source)
+    routes = create_route_copy()
+    announcer = _BackendAnnouncer(membership)
+    backend = create_backend_server(dialect.names, announcer.announce)
+    announcer.backend = backend
+    bounds = settings.bounds
+    forwarder = Forwarder(
+        settings.id,
+        settings.service,
+        routes,
+        directory,
+        create_placement(settings.data_centre, source),
+        create_repeat_budget(
+            bounds.repeat_ratio, bounds.repeat_extra, bounds.repeat_window_seconds
+        ),
+        ShareKeeper(),
+        backend,
+        dialect.names,
+    )
+    page = create_fleet_metrics()
+    forwarder.counters.observe_seconds = page.observe_seconds
+    control = create_control_handler(
+        dialect, NodeControl(backend, settings.service).serve
+    )
+    node = FleetNode(
+        settings=settings,
+        timers=timers,
+        membership=membership,
+        links=links,
+        client=client,
+        routes=routes,
+        backend=backend,
+        forwarder=forwarder,
+        outbound=create_relay_server(forwarder.handle),
+        inbound=create_relay_server(CallReceiver(backend, dialect.names).handle),
+        control=create_relay_server(control.handle),
+        ready=create_relay_server(lambda exchange: node.answer_ready(exchange)),
+        metrics=create_relay_server(create_metrics_handler(page.render)),
+    )
+    _add_metrics(page, node)
+    return node
+
+
+def _add_metrics(page: FleetMetrics, node: FleetNode) -> None:
+    counters, gate = node.forwarder.counters, node.backend.gate
+    prefix = "coltsfootspar_"
+    page.add_counter(
+        f"{prefix}served_total", "Requests served.", lambda: counters.served
+    )
+    page.add_counter(
+        f"{prefix}refused_total", "Requests refused.", lambda: counters.refused
+    )
+    page.add_counter(
+        f"{prefix}failed_total", "Requests failed.", lambda: counters.failed
+    )
+    page.add_counter(
+        f"{prefix}repeats_total", "Repeated sends.", lambda: counters.repeats
+    )
+    page.add_gauge(f"{prefix}slots_in_use", "Slots in use.", lambda: gate.in_use)
+    page.add_gauge(f"{prefix}slots", "Slots of the server.", lambda: gate.limit)
+    page.add_gauge(
+        f"{prefix}waiting", "Calls that wait for a slot.", lambda: gate.load.waiting
+    )
+    page.add_gauge(
+        f"{prefix}routes_version", "Version in force.", lambda: node.routes.version
+    )
--- /dev/null
+++ b/src/coltsfootspar/relay/__init__.py
@@ -0,0 +1,38 @@
+"""The data path: requests of callers to backend servers through their nodes."""
+
+from coltsfootspar.relay.backend import (
+    BackendReport,
+    BackendServer,
+    create_backend_server,
+)
+from coltsfootspar.relay.calls import Call, HeaderNames, Importance, Load, Reply
+from coltsfootspar.relay.forwarding import CallReceiver, Forwarder, RelayCounters
+from coltsfootspar.relay.gate import SlotGate, create_slot_gate
+from coltsfootspar.relay.placement import Placement, create_placement
+from coltsfootspar.relay.repeats import RepeatBudget, create_repeat_budget
+from coltsfootspar.relay.server import Exchange, RelayServer, create_relay_server
+from coltsfootspar.relay.shares import ShareKeeper
+
+__all__ = [
+    "BackendReport",
+    "BackendServer",
+    "Call",
+    "CallReceiver",
+    "Exchange",
+    "Forwarder",
+    "HeaderNames",
+    "Importance",
+    "Load",
+    "Placement",
+    "RelayCounters",
+    "RelayServer",
+    "RepeatBudget",
+    "Reply",
+    "ShareKeeper",
+    "SlotGate",
+    "create_backend_server",
+    "create_placement",
+    "create_relay_server",
+    "create_repeat_budget",
+    "create_slot_gate",
+]
--- /dev/null
+++ b/src/coltsfootspar/relay/backend.py
@@ -0,0 +1,334 @@
+"""The own backend server: what it says of itself, and requests to it."""
+
+import contextlib
+from collections.abc import AsyncIterator, Callable
+
+import attrs
+import trio
+
+from coltsfootspar.calls import Outcome
+from coltsfootspar.exceptions import RefusedError, TransferError
+from coltsfootspar.relay.calls import (
+    HOP_HEADERS,
+    HeaderNames,
+    OutgoingCall,
+    Reply,
+    create_refusal,
+)
+from coltsfootspar.relay.client import (
+    IDLE_SECONDS,
+    ClientConnection,
+    ConnectionPool,
+    OutgoingRequest,
+)
+from coltsfootspar.relay.gate import SlotGate, create_slot_gate
+from coltsfootspar.relay.messages import (
+    Headers,
+    Response,
+    encode_request,
+    filter_headers,
+)
+from coltsfootspar.telemetry.decisions import log_decision
+from coltsfootspar.wire import Address
+
+__all__ = ["BackendReport", "BackendServer", "create_backend_server"]
+
+# A backend server that has said nothing of itself for this time gets no work.
+REPORT_SECONDS = 9.0
+# One call is let through in this time while connections are refused.
+RETRY_SECONDS = 0.3
+# A request that must not run twice goes on a connection used this recently, or
+# on a new one: a server may close an idle connection while it is on its way.
+FRESH_SECONDS = 1.0
+# Time after the deadline in which the backend server's own answer may arrive.
+DEADLINE_MARGIN = 0.05
+BUFFER_BYTES = 262_144
+_MISDIRECTED = 421
+_SERVER_ERROR = 500
+
+
+@attrs.frozen
+class BackendReport:
+    """What a backend server says of itself.
+
+    :param instance_id: id of the backend server.
+    :param started_ms: Unix time of its start, milliseconds.
+    :param sequence: grows with each report since the start.
+    :param slots: requests that it works on at once.
+    :param warm_in: time until it has its full speed, seconds.
+    """
+
+    instance_id: str
+    service: str
+    address: Address
+    slots: int
+    is_leaving: bool
+    warm_in: float
+    sequence: int
+    started_ms: int = 0
+
+    @property
+    def order(self) -> tuple[int, int]:
+        """Reports with a higher order are newer."""
+        return self.started_ms, self.sequence
+
+
+@attrs.define(eq=False)
+class BackendServer:
+    """Passes calls on to the backend server on the own host.
+
+    :param gate: slots of the backend server.
+    :param report: its newest report; None before the first and after it left.
+    """
+
+    _names: HeaderNames
+    _on_change: Callable[[], None]
+    gate: SlotGate = attrs.field(factory=create_slot_gate)
+    report: BackendReport | None = None
+    _newest: tuple[int, int] = (-1, -1)
+    _departed: str = ""
+    _reported_at: float = -float("inf")
+    _down_until: float = -float("inf")
+    _pool: ConnectionPool | None = None
+
+    @property
+    def service(self) -> str:
+        """Service of the backend server, empty when it takes no work."""
+        report = self.report
+        if report is None or report.is_leaving or self._is_overdue():
+            return ""
+        return report.service
+
+    @property
+    def connections_opened(self) -> int:
+        """Connections opened to the present backend server."""
+        return self._pool.opened if self._pool is not None else 0
+
+    def take_report(self, report: BackendReport) -> bool:
+        """Takes a report.
+
+        :returns: false for one that is older than what is known.
+        """
+        if report.order <= self._newest:
+            is_repeated = report.order == self._newest
+            log_decision(
+                "report-ignored",
+                instance=report.instance_id,
+                order=report.order,
+                known=self._newest,
+            )
+            return is_repeated
+        now = trio.current_time()
+        previous = self.report
+        self._newest = report.order
+        self._reported_at = now
+        if report.instance_id == self._departed and (
+            previous is None or report.started_ms == previous.started_ms
+        ):
+            return True
+        self.report = report
+        self._down_until = now
+        if previous is None or previous.address != report.address:
+            self._replace_pool(report.address)
+        self.gate.update(report.slots, now + report.warm_in)
+        is_changed = previous is None or (
+            previous.instance_id,
+            previous.is_leaving,
+            previous.started_ms,
+        ) != (report.instance_id, report.is_leaving, report.started_ms)
+        if is_changed:
+            log_decision(
+                "backend-changed",
+                instance=report.instance_id,
+                service=report.service,
+                leaving=report.is_leaving,
+                slots=report.slots,
+                order=report.order,
+            )
+            self._finish_change()
+        return True
+
+    def take_departure(self, instance_id: str) -> None:
+        """Takes the news that a backend server leaves; it gets no new work."""
+        report = self.report
+        if report is None or report.instance_id != instance_id:
+            log_decision("departure-ignored", instance=instance_id)
+            return
+        self._departed = instance_id
+        self.report = attrs.evolve(report, is_leaving=True)
+        log_decision("backend-departed", instance=instance_id)
+        self._finish_change()
+
+    def check(self, now: float) -> None:
+        """Drops idle connections and a backend server that has gone silent."""
+        if self._pool is not None:
+            self._pool.drop_idle(now)
+        if self.report is not None and self._is_overdue():
+            log_decision("backend-silent", instance=self.report.instance_id)
+            self.report = None
+            self._finish_change()
+
+    @contextlib.asynccontextmanager
+    async def send(self, outgoing: OutgoingCall) -> AsyncIterator[Reply]:
+        """Passes a call on; the reply's body is read within the context."""
+        refusal = self._check_call(outgoing)
+        if refusal is None:
+            try:
+                with trio.move_on_at(outgoing.call.deadline):
+                    await self.gate.acquire(outgoing.call)
+                    refusal = None
+            except RefusedError as error:
+                refusal = create_refusal(error.code, load=self.gate.load)
+        if refusal is not None:
+            yield refusal
+            return
+        start = trio.current_time()
+        seconds = None
+        try:
+            refusal = self._check_call(outgoing)
+            if refusal is not None:
+                yield refusal
+                return
+            async with self._request(outgoing) as reply:
+                if reply.outcome is Outcome.RAN and reply.status < _SERVER_ERROR:
+                    seconds = trio.current_time() - start
+                yield reply
+        finally:
+            self.gate.release(seconds)
+
+    def _check_call(self, outgoing: OutgoingCall) -> Reply | None:
+        """Returns a refusal of a call that must not reach the backend server."""
+        service = self.service
+        if not service:
+            return create_refusal("leaving" if self.report else "no-backend")
+        if service != outgoing.call.service:
+            return create_refusal("other-service")
+        now = trio.current_time()
+        if now < self._down_until:
+            return create_refusal("backend-down")
+        if outgoing.call.deadline <= now:
+            return create_refusal("deadline")
+        return None
+
+    @contextlib.asynccontextmanager
+    async def _request(self, outgoing: OutgoingCall) -> AsyncIterator[Reply]:
+        is_idempotent = outgoing.call.is_idempotent
+        longest_idle = IDLE_SECONDS if is_idempotent else FRESH_SECONDS
+        async with contextlib.AsyncExitStack() as stack:
+            scope = trio.CancelScope(deadline=outgoing.call.deadline + DEADLINE_MARGIN)
+            reply = None
+            with scope:
+                reply = await self._try_request(outgoing, stack, longest_idle)
+            if reply is None:
+                reply = create_refusal(
+                    "backend-timeout", Outcome.MAY_HAVE_RUN, status=504
+                )
+            yield attrs.evolve(reply, load=self.gate.load)
+
+    async def _try_request(
+        self,
+        outgoing: OutgoingCall,
+        stack: contextlib.AsyncExitStack,
+        longest_idle: float,
+    ) -> Reply:
+        lending = self._pool.lend(longest_idle)
+        try:
+            connection = await stack.enter_async_context(lending)
+        except TransferError as error:
+            self._note_unreachable(str(error))
+            return create_refusal("backend-unreachable")
+        was_reused = connection.is_reused
+        try:
+            return await self._exchange(outgoing, connection)
+        except TransferError as error:
+            connection.close()
+            log_decision(
+                "backend-broke-off",
+                request=outgoing.request_id,
+                error=error.code,
+                reused=was_reused,
+            )
+            is_stale = was_reused and not connection.has_response_begun
+            is_repeatable = outgoing.call.is_idempotent and outgoing.stream is None
+            if not (is_stale and is_repeatable):
+                return create_refusal(error.code, Outcome.MAY_HAVE_RUN, status=502)
+        # The server closed the connection while it was idle: a new one is needed.
+        return await self._try_request(outgoing, stack, 0.0)
+
+    async def _exchange(
+        self, outgoing: OutgoingCall, connection: ClientConnection
+    ) -> Reply:
+        names = self._names
+        headers = self._create_headers(outgoing)
+        request = OutgoingRequest(
+            encode_request(outgoing.method, outgoing.target, headers, outgoing.body),
+            outgoing.request_id,
+            names.request_id.lower(),
+            outgoing.method == b"HEAD",
+            outgoing.stream,
+        )
+        response = await connection.exchange(request, BUFFER_BYTES)
+        return self._create_reply(response, connection)
+
+    def _create_headers(self, outgoing: OutgoingCall) -> Headers:
+        names, call = self._names, outgoing.call
+        left = max(1, int((call.deadline - trio.current_time()) * 1e3))
+        headers = [
+            *outgoing.headers,
+            (names.deadline_ms, b"%d" % left),
+            (names.instance, self.report.instance_id.encode()),
+            (names.caller, call.caller.encode()),
+        ]
+        stream = outgoing.stream
+        if stream is not None and stream.length is None:
+            headers.append((b"Transfer-Encoding", b"chunked"))
+        elif stream is not None:
+            headers.append((b"Content-Length", b"%d" % stream.length))
+        return headers
+
+    def _create_reply(self, response: Response, connection: ClientConnection) -> Reply:
+        is_not_run = (
+            response.find(self._names.not_run.lower()) is not None
+            or response.status == _MISDIRECTED
+        )
+
+        async def read() -> bytes:
+            return await connection.read_body(response)
+
+        return Reply(
+            response.status,
+            filter_headers(response, HOP_HEADERS),
+            response.take_body(),
+            Outcome.NOT_RUN if is_not_run else Outcome.RAN,
+            response.reason,
+            "backend-shed" if is_not_run else "",
+            None if response.is_complete else read,
+            response.content_length,
+        )
+
+    def _note_unreachable(self, text: str) -> None:
+        self._down_until = trio.current_time() + RETRY_SECONDS
+        log_decision("backend-unreachable", error=text)
+
+    def _is_overdue(self) -> bool:
+        return trio.current_time() - self._reported_at > REPORT_SECONDS
+
+    def _replace_pool(self, address: Address) -> None:
+        if self._pool is not None:
+            self._pool.close()
+        self._pool = ConnectionPool(address)
+
+    def _finish_change(self) -> None:
+        if not self.service:
+            self.gate.refuse_all("leaving")
+        self._on_change()
+
+
+def create_backend_server(
+    names: HeaderNames, on_change: Callable[[], None]
+) -> BackendServer:
+    """Creates the connection to a backend server that has not reported yet.
+
+    :param on_change: called when it begins or ceases to take work.
+    """
+    return BackendServer(names, on_change)
--- /dev/null
+++ b/src/coltsfootspar/relay/client.py
@@ -0,0 +1,258 @@
+"""Connections to one address, kept open between requests."""
+
+import contextlib
+import socket
+from collections.abc import AsyncIterator, Awaitable, Callable
+
+import attrs
+import trio
+
+from coltsfootspar.exceptions import MalformedRequestError, TransferError
+from coltsfootspar.relay.messages import (
+    LAST_CHUNK,
+    Response,
+    ResponseReader,
+    encode_chunk,
+)
+from coltsfootspar.relay.sockets import connect, has_input, receive, send_all
+from coltsfootspar.wire import Address
+
+__all__ = ["ClientConnection", "ConnectionPool", "OutgoingRequest", "StreamedBody"]
+
+CONNECT_SECONDS = 0.5
+IDLE_SECONDS = 8.0
+# Share of the announced idle time for which a connection is used again.
+_IDLE_SHARE = 0.6
+# A body up to this size fits into the buffers of a new connection, so that it
+# can be written before the response is read.
+_INLINE_BODY_BYTES = 16_384
+_FIRST_FINAL_STATUS = 200
+
+
+@attrs.frozen
+class StreamedBody:
+    """A body that is passed on while it arrives.
+
+    :param length: announced length, None when it is sent in chunks.
+    """
+
+    read: Callable[[], Awaitable[bytes]]
+    length: int | None
+
+
+@attrs.frozen
+class OutgoingRequest:
+    """A request, encoded.
+
+    :param request_id: value that the response has to repeat, if it names one.
+    :param id_header: lower-case name of the header with that value.
+    :param stream: the rest of the body, for one that is not in ``data``.
+    """
+
+    data: bytes
+    request_id: bytes | None = None
+    id_header: bytes = b""
+    is_head: bool = False
+    stream: StreamedBody | None = None
+
+
+@attrs.define(eq=False)
+class ClientConnection:
+    """One connection to a server.
+
+    :param used_at: trio clock when the last response was complete, seconds.
+    :param is_reused: true when it has served a request before.
+    """
+
+    sock: socket.socket
+    used_at: float = 0.0
+    idle_seconds: float = IDLE_SECONDS
+    is_reused: bool = False
+    is_spent: bool = False
+    has_response_begun: bool = False
+    _reader: ResponseReader = attrs.field(factory=ResponseReader)
+
+    def close(self) -> None:
+        """Closes the connection."""
+        self.is_spent = True
+        self.sock.close()
+
+    def is_usable(self, now: float, longest_idle: float) -> bool:
+        """Tells whether another request may be sent."""
+        return (
+            not self.is_spent
+            and now - self.used_at < min(self.idle_seconds, longest_idle)
+            and not self._reader.messages
+            and not has_input(self.sock)
+        )
+
+    async def exchange(self, request: OutgoingRequest, buffer: int) -> Response:
+        """Sends a request and reads its response.
+
+        :param buffer: bytes of the body to read; the rest of a longer one follows
+            with :meth:`read_body`.
+        :raises TransferError: when the connection ends before that.
+        """
+        self.has_response_begun = False
+        if request.stream is None and len(request.data) <= _INLINE_BODY_BYTES:
+            await send_all(self.sock, request.data)
+            return await self._read_response(request, buffer)
+        # The server may answer before it has read the body.
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._send_body, request)
+            response = await self._read_response(request, buffer)
+        return response
+
+    async def read_body(self, response: Response) -> bytes:
+        """Reads the next piece of a body; empty at its end.
+
+        :raises TransferError: when the connection ends before that.
+        """
+        while not response.parts and not response.is_complete:
+            await self._read_more(response)
+        return response.take_body()
+
+    async def _send_body(self, request: OutgoingRequest) -> None:
+        stream = request.stream
+        try:
+            await send_all(self.sock, request.data)
+            while stream is not None:
+                data = await stream.read()
+                if not data:
+                    break
+                is_chunked = stream.length is None
+                await send_all(self.sock, encode_chunk(data) if is_chunked else data)
+            if stream is not None and stream.length is None:
+                await send_all(self.sock, LAST_CHUNK)
+        except TransferError:
+            # The server may have answered and closed without reading the body;
+            # the reader finds out. The connection cannot be used again.
+            self.is_spent = True
+            if stream is not None:
+                with contextlib.suppress(OSError):
+                    self.sock.shutdown(socket.SHUT_WR)
+
+    async def _read_response(self, request: OutgoingRequest, buffer: int) -> Response:
+        messages = self._reader.messages
+        while True:
+            while not messages or not messages[0].has_head:
+                await self._read_more(None)
+            response = messages.popleft()
+            if response.status < _FIRST_FINAL_STATUS:
+                continue
+            self.has_response_begun = True
+            if request.is_head:
+                response.is_complete, self.is_spent = True, True
+            while not response.is_complete and response.received <= buffer:
+                await self._read_more(response)
+            given = response.find(request.id_header)
+            if given is None or request.request_id in (None, given):
+                self._note_end(response)
+                return response
+            # A late response to an earlier request of another caller.
+            self.is_spent = True
+            if not response.is_complete:
+                text = "the response belongs to another request"
+                raise TransferError(text, may_have_run=True, code="other-response")
+
+    async def _read_more(self, response: Response | None) -> None:
+        data = await receive(self.sock)
+        try:
+            if data:
+                self._reader.feed(data)
+            else:
+                self._reader.finish()
+        except MalformedRequestError as error:
+            self.is_spent = True
+            if response is None or not response.is_complete:
+                raise TransferError(
+                    str(error), may_have_run=True, code="malformed-response"
+                ) from error
+        if not data:
+            self.is_spent = True
+            if response is None or not response.is_complete:
+                raise TransferError(
+                    "the server closed the connection", may_have_run=True, code="closed"
+                )
+
+    def _note_end(self, response: Response) -> None:
+        self.used_at = trio.current_time()
+        self.is_reused = True
+        if (
+            not response.is_complete
+            or not response.keeps_connection
+            or response.ends_with_connection
+        ):
+            self.is_spent = True
+        elif (value := response.find(b"keep-alive")) is not None:
+            self.idle_seconds = _parse_idle_seconds(value, self.idle_seconds)
+
+
+@attrs.define(eq=False)
+class ConnectionPool:
+    """Connections to one address; the one used last is used first.
+
+    :param opened: connections opened so far.
+    """
+
+    address: Address
+    opened: int = 0
+    _idle: list[ClientConnection] = attrs.field(factory=list)
+
+    @contextlib.asynccontextmanager
+    async def lend(
+        self, longest_idle: float = IDLE_SECONDS
+    ) -> AsyncIterator[ClientConnection]:
+        """Lends a connection; it is kept if its last response was complete.
+
+        :param longest_idle: a connection without use for this time is not taken,
+            seconds.
+        :raises TransferError: when no connection can be made.
+        """
+        connection = self._take(longest_idle)
+        if connection is None:
+            sock = await connect(self.address, CONNECT_SECONDS)
+            self.opened += 1
+            connection = ClientConnection(sock)
+        is_kept = False
+        try:
+            yield connection
+            is_kept = connection.is_reused
+        finally:
+            if is_kept and not connection.is_spent:
+                self._idle.append(connection)
+            else:
+                connection.close()
+
+    def drop_idle(self, now: float) -> None:
+        """Closes the connections that were not used for some time."""
+        kept = []
+        for connection in self._idle:
+            if connection.is_usable(now, IDLE_SECONDS):
+                kept.append(connection)
+            else:
+                connection.close()
+        self._idle = kept
+
+    def close(self) -> None:
+        """Closes all idle connections."""
+        for connection in self._idle:
+            connection.close()
+        self._idle.clear()
+
+    def _take(self, longest_idle: float) -> ClientConnection | None:
+        now = trio.current_time()
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.is_usable(now, longest_idle):
+                return connection
+            connection.close()
+        return None
+
+
+def _parse_idle_seconds(value: bytes, default: float) -> float:
+    for part in value.split(b","):
+        name, _, number = part.strip().partition(b"=")
+        if name.lower() == b"timeout" and number.isdigit():
+            return min(default, int(number) * _IDLE_SHARE)
+    return default
--- /dev/null
+++ b/src/coltsfootspar/relay/forwarding.py
@@ -0,0 +1,488 @@
+"""The way of a request from its caller to a backend server and back."""
+
+import contextlib
+import math
+from collections.abc import AsyncIterator, Callable, Sequence
+from typing import Protocol
+
+import attrs
+import trio
+
+from coltsfootspar.calls import Outcome
+from coltsfootspar.exceptions import (
+    MalformedRequestError,
+    TooLargeError,
+    TransferError,
+)
+from coltsfootspar.relay.backend import BUFFER_BYTES, BackendServer
+from coltsfootspar.relay.calls import (
+    CALL_HEADER,
+    ERROR_HEADER,
+    HOP_HEADERS,
+    LOAD_HEADER,
+    OUTCOME_HEADER,
+    Call,
+    HeaderNames,
+    Importance,
+    OutgoingCall,
+    Reply,
+    create_refusal,
+    decode_call_header,
+    decode_load,
+    encode_call_header,
+    encode_load,
+)
+from coltsfootspar.relay.client import ConnectionPool, OutgoingRequest, StreamedBody
+from coltsfootspar.relay.messages import (
+    Headers,
+    Request,
+    Response,
+    encode_request,
+    filter_headers,
+)
+from coltsfootspar.relay.placement import Placement
+from coltsfootspar.relay.repeats import RepeatBudget
+from coltsfootspar.relay.server import Exchange
+from coltsfootspar.relay.shares import ShareKeeper
+from coltsfootspar.routes import Route, RouteMatcher
+from coltsfootspar.routing import Candidate
+from coltsfootspar.telemetry.decisions import log_decision
+from coltsfootspar.wire import Address
+
+__all__ = ["CallReceiver", "Forwarder", "NodeDirectory", "RelayCounters"]
+
+# A body up to this size is held, so that it can be sent to another node.
+BODY_BYTES = 1 << 20
+# Time after the deadline in which the answer of the other node may arrive.
+DEADLINE_MARGIN = 0.1
+# Nodes that are asked before a call is refused. Only nodes that were sure that
+# the call had not run are followed by another one.
+MAX_NODES = 4
+RETRY_AFTER = b"0.5"
+_DEFAULT_DEADLINE_SECONDS = 30.0
+_SERVER_ERROR = 500
+# Errors of a node that say nothing of its backend server's load.
+_ABSENCE_ERRORS = frozenset(
+    {"no-backend", "leaving", "other-service", "backend-down", "backend-unreachable"}
+)
+
+
+class NodeDirectory(Protocol):
+    """Nodes of the deployment."""
+
+    def list_candidates(self, service: str) -> Sequence[Candidate]:
+        """Lists the reachable nodes whose backend server offers a service."""
+
+    def find_address(self, node_id: str) -> Address | None:
+        """Returns where a node takes calls of other nodes."""
+
+
+class RouteView(Protocol):
+    """The routes in force."""
+
+    @property
+    def version(self) -> int:
+        """Version in force, 0 before the first."""
+
+    @property
+    def matcher(self) -> RouteMatcher:
+        """Routes in force."""
+
+
+@attrs.define(eq=False)
+class RelayCounters:
+    """Counts for the metrics page.
+
+    :param served: requests of callers that got an answer of a backend server.
+    :param refused: requests that were refused and have not run.
+    :param failed: requests that failed for another reason.
+    :param repeats: calls that were sent to a second backend server.
+    :param seconds: time to the answer of served requests, seconds.
+    """
+
+    served: int = 0
+    refused: int = 0
+    failed: int = 0
+    repeats: int = 0
+    observe_seconds: Callable[[float], None] = lambda seconds: None
+
+
+@attrs.define(eq=False)
+class CallReceiver:
+    """Serves the calls of other nodes with the own backend server."""
+
+    _backend: BackendServer
+    _names: HeaderNames
+
+    async def handle(self, exchange: Exchange) -> None:
+        """Answers a call of another node."""
+        request = exchange.request
+        try:
+            call = decode_call_header(
+                request.find(CALL_HEADER.lower()), request.arrived
+            )
+        except MalformedRequestError as error:
+            log_decision("call-malformed", error=str(error))
+            await exchange.answer(400, [], b"")
+            return
+        outgoing = await create_outgoing(exchange, call, self._names)
+        async with self._backend.send(outgoing) as reply:
+            headers = [*reply.headers, (OUTCOME_HEADER, reply.outcome.encode())]
+            if reply.error:
+                headers.append((ERROR_HEADER, reply.error.encode()))
+            if reply.load is not None:
+                headers.append((LOAD_HEADER, encode_load(reply.load)))
+            await deliver(exchange, reply, headers)
+
+
+async def create_outgoing(
+    exchange: Exchange, call: Call, names: HeaderNames
+) -> OutgoingCall:
+    """Prepares a request for being passed on.
+
+    A body that is not too long is read first, so that it can be sent again.
+
+    :raises TransferError: when the caller breaks off.
+    """
+    request = exchange.request
+    if not request.is_complete:
+        await exchange.buffer_body(BODY_BYTES)
+    own = (names.deadline_ms, names.instance, names.caller)
+    drop = (*HOP_HEADERS, b"expect", *(name.lower() for name in own))
+    headers = filter_headers(request, drop)
+    body, stream = None, None
+    if request.is_complete:
+        body = request.take_body() if request.has_body else None
+    else:
+        stream = StreamedBody(exchange.read_body, request.content_length)
+    return OutgoingCall(
+        call=call,
+        method=request.method,
+        target=request.target,
+        headers=headers,
+        request_id=request.find(names.request_id.lower()),
+        body=body,
+        stream=stream,
+    )
+
+
+async def deliver(exchange: Exchange, reply: Reply, headers: Headers) -> None:
+    """Sends a reply to the caller.
+
+    :raises TransferError: when either side breaks off.
+    """
+    if reply.read is None:
+        await exchange.answer(reply.status, headers, reply.body, reply.reason)
+        return
+    first = [reply.body]
+
+    async def read() -> bytes:
+        return (first.pop() if first else b"") or await reply.read()
+
+    response = Response(status=reply.status, reason=reply.reason)
+    if reply.length is not None:
+        response.index[b"content-length"] = b"%d" % reply.length
+    await exchange.pass_on(response, headers, read)
+
+
+@attrs.define(eq=False)
+class _Trial:
+    """The nodes that one request was sent to.
+
+    :param sent: backend servers that may have got it.
+    :param may_have_run: true once one of them may have run it.
+    :param error: why the last node did not answer it.
+    """
+
+    tried: set[str] = attrs.field(factory=set)
+    sent: int = 0
+    may_have_run: bool = False
+    error: str = "no-candidate"
+
+
+@attrs.define(eq=False)
+class Forwarder:
+    """Sends requests of callers on the own host to backend servers."""
+
+    _node_id: str
+    _service: str
+    _routes: RouteView
+    _directory: NodeDirectory
+    _placement: Placement
+    _budget: RepeatBudget
+    _shares: ShareKeeper
+    _backend: BackendServer
+    _names: HeaderNames
+    counters: RelayCounters = attrs.field(factory=RelayCounters)
+    _pools: dict[Address, ConnectionPool] = attrs.field(factory=dict)
+
+    async def handle(self, exchange: Exchange) -> None:
+        """Answers a request of a caller."""
+        request = exchange.request
+        host = (request.find(b"host") or b"").decode("latin-1")
+        path = request.target.decode("latin-1")
+        if self._routes.version == 0:
+            await self._refuse(exchange, "no-routes")
+            return
+        route = self._routes.matcher.find(host, path)
+        if route is None:
+            log_decision("no-route", host=host, path=path, version=self._routes.version)
+            await exchange.answer(404, [], b"")
+            return
+        call = self._create_call(request, route)
+        try:
+            outgoing = await create_outgoing(exchange, call, self._names)
+        except TooLargeError:
+            await exchange.answer(413, [], b"")
+            return
+        await self._forward(exchange, route, outgoing)
+
+    def drop_idle(self, now: float) -> None:
+        """Closes connections that are not used any more."""
+        for address in list(self._pools):
+            self._pools[address].drop_idle(now)
+
+    def forget_nodes(self, present: set[str]) -> None:
+        """Drops what is known of nodes that are gone.
+
+        :param present: ids of the nodes that are still there.
+        """
+        self._placement.forget(present)
+        self._budget.nodes = len(present)
+
+    def _create_call(self, request: Request, route: Route) -> Call:
+        left = parse_milliseconds(request.find(self._names.deadline_ms.lower()))
+        seconds = min(route.timeout, left or _DEFAULT_DEADLINE_SECONDS)
+        return Call(
+            service=self._shares.choose(route),
+            deadline=request.arrived + seconds,
+            rank=route.rank,
+            is_idempotent=route.is_idempotent,
+            importance=Importance.NEW,
+            target_latency=route.target_latency,
+            caller=self._service,
+        )
+
+    async def _forward(
+        self, exchange: Exchange, route: Route, outgoing: OutgoingCall
+    ) -> None:
+        trial = _Trial()
+        scope = trio.CancelScope(deadline=outgoing.call.deadline + DEADLINE_MARGIN)
+        self._budget.record_request(outgoing.call.service)
+        with scope:
+            while await self._try_node(exchange, route, outgoing, trial, scope):
+                pass
+        if exchange.has_answered:
+            return
+        if scope.cancelled_caught:
+            trial.error = "deadline"
+        await self._fail(exchange, outgoing, trial, is_late=scope.cancelled_caught)
+
+    async def _try_node(
+        self,
+        exchange: Exchange,
+        route: Route,
+        outgoing: OutgoingCall,
+        trial: _Trial,
+        scope: trio.CancelScope,
+    ) -> bool:
+        """Sends a request to one node.
+
+        :returns: true when another node should be tried.
+        """
+        service = outgoing.call.service
+        candidates = self._directory.list_candidates(service)
+        candidate = self._placement.choose(candidates, trial.tried)
+        if candidate is None or len(trial.tried) >= MAX_NODES:
+            return False
+        if trial.sent and not (
+            trial.sent < route.attempts and self._budget.take(service)
+        ):
+            return False
+        if trial.sent:
+            self.counters.repeats += 1
+        trial.tried.add(candidate.node_id)
+        async with self._send(candidate, outgoing, trial) as reply:
+            if not self._is_final(route, outgoing, trial, reply):
+                return True
+            scope.deadline = math.inf
+            if reply.outcome is Outcome.RAN:
+                self.counters.served += 1
+                elapsed = trio.current_time() - exchange.request.arrived
+                self.counters.observe_seconds(elapsed)
+                await deliver(exchange, reply, reply.headers)
+            return False
+
+    def _is_final(
+        self, route: Route, outgoing: OutgoingCall, trial: _Trial, reply: Reply
+    ) -> bool:
+        """Tells whether a reply ends the request, and notes what it says."""
+        if reply.outcome is Outcome.RAN and reply.status < _SERVER_ERROR:
+            return True
+        trial.error = reply.error or str(reply.status)
+        if reply.outcome is Outcome.NOT_RUN:
+            if reply.error == "backend-shed":
+                trial.sent += 1
+            return False
+        trial.sent += 1
+        trial.may_have_run = True
+        can_repeat = (
+            route.is_idempotent
+            and outgoing.stream is None
+            and trial.sent < route.attempts
+            and self._has_time(outgoing.call)
+        )
+        return not can_repeat or not self._has_other(outgoing.call.service, trial)
+
+    def _has_time(self, call: Call) -> bool:
+        return call.deadline - trio.current_time() > call.target_latency * 0.1
+
+    def _has_other(self, service: str, trial: _Trial) -> bool:
+        candidates = self._directory.list_candidates(service)
+        return self._placement.choose(candidates, trial.tried) is not None
+
+    @contextlib.asynccontextmanager
+    async def _send(
+        self, candidate: Candidate, outgoing: OutgoingCall, trial: _Trial
+    ) -> AsyncIterator[Reply]:
+        node_id = candidate.node_id
+        start = trio.current_time()
+        seconds, load = None, None
+        self._placement.begin(node_id)
+        try:
+            if node_id == self._node_id:
+                sending = self._backend.send(outgoing)
+            else:
+                sending = self._send_to_peer(node_id, outgoing, trial)
+            async with sending as reply:
+                load = reply.load
+                if reply.outcome is Outcome.RAN:
+                    seconds = trio.current_time() - start
+                if reply.error in _ABSENCE_ERRORS or reply.load is None:
+                    self._placement.pause(node_id)
+                yield reply
+        finally:
+            self._placement.finish(node_id, seconds, load)
+
+    @contextlib.asynccontextmanager
+    async def _send_to_peer(
+        self, node_id: str, outgoing: OutgoingCall, trial: _Trial
+    ) -> AsyncIterator[Reply]:
+        address = self._directory.find_address(node_id)
+        if address is None:
+            yield create_refusal("no-address")
+            return
+        pool = self._pools.get(address)
+        if pool is None:
+            pool = self._pools[address] = ConnectionPool(address)
+        async with contextlib.AsyncExitStack() as stack:
+            is_sent = False
+            try:
+                connection = await stack.enter_async_context(pool.lend())
+                is_sent = True
+                request = self._encode(outgoing)
+                response = await connection.exchange(request, BUFFER_BYTES)
+                reply = _create_peer_reply(response, connection.read_body)
+            except TransferError as error:
+                log_decision(
+                    "node-broke-off" if is_sent else "node-unreachable",
+                    request=outgoing.request_id,
+                    node=node_id,
+                    error=error.code,
+                )
+                outcome = Outcome.MAY_HAVE_RUN if is_sent else Outcome.NOT_RUN
+                reply = create_refusal(error.code, outcome, status=502)
+            yield reply
+
+    def _encode(self, outgoing: OutgoingCall) -> OutgoingRequest:
+        call_header = encode_call_header(outgoing.call, trio.current_time())
+        headers = [*outgoing.headers, (CALL_HEADER, call_header)]
+        stream = outgoing.stream
+        if stream is not None and stream.length is None:
+            headers.append((b"Transfer-Encoding", b"chunked"))
+        elif stream is not None:
+            headers.append((b"Content-Length", b"%d" % stream.length))
+        return OutgoingRequest(
+            encode_request(outgoing.method, outgoing.target, headers, outgoing.body),
+            outgoing.request_id,
+            self._names.request_id.lower(),
+            outgoing.method == b"HEAD",
+            stream,
+        )
+
+    async def _fail(
+        self,
+        exchange: Exchange,
+        outgoing: OutgoingCall,
+        trial: _Trial,
+        *,
+        is_late: bool,
+    ) -> None:
+        """Answers a request that no backend server has answered."""
+        if not trial.may_have_run and not is_late:
+            await self._refuse(exchange, trial.error, outgoing)
+            return
+        self.counters.failed += 1
+        is_timeout = is_late or trial.error == "backend-timeout"
+        status = 504 if is_timeout else 502
+        log_decision(
+            "failed",
+            request=outgoing.request_id,
+            service=outgoing.call.service,
+            error=trial.error,
+            nodes=sorted(trial.tried),
+            status=status,
+            version=self._routes.version,
+        )
+        headers = [(OUTCOME_HEADER, Outcome.MAY_HAVE_RUN.encode())]
+        await exchange.answer(status, headers, b"")
+
+    async def _refuse(
+        self, exchange: Exchange, error: str, outgoing: OutgoingCall | None = None
+    ) -> None:
+        self.counters.refused += 1
+        request = exchange.request
+        log_decision(
+            "refused",
+            request=request.find(self._names.request_id.lower()),
+            service=outgoing.call.service if outgoing else "",
+            error=error,
+            version=self._routes.version,
+        )
+        headers = [
+            (b"Retry-After", RETRY_AFTER),
+            (OUTCOME_HEADER, Outcome.NOT_RUN.encode()),
+            (ERROR_HEADER, error.encode()),
+        ]
+        await exchange.answer(503, headers, b"")
+
+
+def _create_peer_reply(response: Response, read_body: Callable) -> Reply:
+    outcome = response.find(OUTCOME_HEADER.lower())
+
+    async def read() -> bytes:
+        return await read_body(response)
+
+    return Reply(
+        response.status,
+        filter_headers(response, HOP_HEADERS),
+        response.take_body(),
+        Outcome(outcome.decode()) if outcome else Outcome.MAY_HAVE_RUN,
+        response.reason,
+        (response.find(ERROR_HEADER.lower()) or b"").decode(),
+        None if response.is_complete else read,
+        response.content_length,
+        decode_load(response.find(LOAD_HEADER.lower())),
+    )
+
+
+def parse_milliseconds(value: bytes | None) -> float | None:
+    """Parses a time in milliseconds.
+
+    :returns: the time in seconds; None when it is missing or malformed.
+    """
+    try:
+        milliseconds = float(value) if value is not None else 0.0
+    except ValueError:
+        return None
+    return milliseconds / 1e3 if 0 < milliseconds < math.inf else None
--- /dev/null
+++ b/src/coltsfootspar/relay/server.py
@@ -0,0 +1,333 @@
+"""HTTP server: one task for each connection."""
+
+import socket
+from collections.abc import Awaitable, Callable
+
+import attrs
+import trio
+from absl import logging
+
+from coltsfootspar.exceptions import (
+    MalformedRequestError,
+    TooLargeError,
+    TransferError,
+)
+from coltsfootspar.relay.messages import (
+    LAST_CHUNK,
+    Headers,
+    Request,
+    RequestReader,
+    Response,
+    encode_chunk,
+    encode_response,
+    filter_headers,
+)
+from coltsfootspar.relay.sockets import (
+    accept,
+    is_closed_by_peer,
+    listen,
+    receive,
+    send_all,
+)
+from coltsfootspar.routes import ClientLimits
+from coltsfootspar.wire import Address
+
+__all__ = ["Exchange", "Handler", "RelayServer", "create_relay_server"]
+
+# How often callers that have left are looked for while their requests wait.
+LEFT_CHECK_SECONDS = 0.1
+_DISCARD_SECONDS = 2.0
+_DISCARD_BYTES = 64 << 20
+_CLOSE: Headers = [(b"Connection", b"close")]
+
+
+@attrs.define(eq=False)
+class Exchange:
+    """A request that is being answered on one connection.
+
+    :param request: the request; its body may still be arriving.
+    :param scope: cancelled when the caller has left.
+    """
+
+    request: Request
+    _connection: "_Connection"
+    scope: trio.CancelScope = attrs.field(factory=trio.CancelScope)
+    has_answered: bool = False
+
+    async def buffer_body(self, limit: int) -> None:
+        """Reads the body until it is complete or longer than a limit.
+
+        :raises TransferError: when the caller breaks off.
+        :raises TooLargeError: when the body exceeds what clients may send.
+        """
+        request = self.request
+        while not request.is_complete and request.received <= limit:
+            await self._connection.read_more(request)
+
+    async def read_body(self) -> bytes:
+        """Reads the next piece of the body; empty at its end.
+
+        :raises TransferError: when the caller breaks off.
+        """
+        request = self.request
+        while not request.parts and not request.is_complete:
+            await self._connection.read_more(request)
+        return request.take_body()
+
+    async def answer(
+        self, status: int, headers: Headers, body: bytes, reason: bytes = b""
+    ) -> None:
+        """Sends a whole response.
+
+        :raises TransferError: when the caller has left.
+        """
+        self.has_answered = True
+        if not self._keeps_connection():
+            headers = headers + _CLOSE
+        data = encode_response(status, headers, body, reason)
+        await send_all(self._connection.sock, data)
+
+    async def pass_on(
+        self,
+        response: Response,
+        headers: Headers,
+        read: Callable[[], Awaitable[bytes]],
+    ) -> None:
+        """Sends a response whose body is still arriving.
+
+        :param read: returns the next piece of the body, empty at its end.
+        :raises TransferError: when either side breaks off; the caller can then
+            see that the response is not complete.
+        """
+        self.has_answered = True
+        length = response.content_length
+        if length is not None:
+            headers = [*headers, (b"Content-Length", b"%d" % length)]
+        else:
+            headers = [*headers, (b"Transfer-Encoding", b"chunked")]
+        if not self._keeps_connection():
+            headers += _CLOSE
+        connection = self._connection
+        connection.is_broken = True
+        head = encode_response(response.status, headers, None, response.reason)
+        await send_all(connection.sock, head)
+        while data := await read():
+            await send_all(connection.sock, data if length else encode_chunk(data))
+        if length is None:
+            await send_all(connection.sock, LAST_CHUNK)
+        connection.is_broken = False
+
+    def _keeps_connection(self) -> bool:
+        request, server = self.request, self._connection.server
+        if server.is_draining or not request.keeps_connection:
+            self._connection.is_last = True
+            return False
+        return True
+
+    def check_caller(self) -> None:
+        """Cancels the exchange when its caller has left."""
+        if is_closed_by_peer(self._connection.sock):
+            self.scope.cancel()
+
+
+Handler = Callable[[Exchange], Awaitable[None]]
+
+
+@attrs.define(eq=False)
+class _Connection:
+    """One accepted connection."""
+
+    server: "RelayServer"
+    sock: socket.socket
+    reader: RequestReader = attrs.field(factory=RequestReader)
+    is_last: bool = False
+    is_broken: bool = False
+    is_idle: bool = True
+    scope: trio.CancelScope = attrs.field(factory=trio.CancelScope)
+
+    async def run(self) -> None:
+        """Serves requests until either side closes the connection."""
+        with self.scope:
+            while not self.is_last and not self.is_broken:
+                request = await self._read_request()
+                if request is None:
+                    return
+                await self._serve(request)
+
+    async def read_more(self, request: Request) -> None:
+        """Reads more of a request's body.
+
+        :raises TransferError: when the caller breaks off.
+        :raises TooLargeError: when the body exceeds what clients may send.
+        """
+        data = await receive(self.sock)
+        if not data:
+            self.is_broken = True
+            raise TransferError("the caller left", may_have_run=True, code="left")
+        try:
+            self.reader.feed(data)
+        except MalformedRequestError:
+            self.is_broken = True
+            raise
+        if request.received > self.server.limits.body_bytes:
+            self.is_broken = True
+            raise TooLargeError("the body is too long")
+
+    async def _read_request(self) -> Request | None:
+        limits = self.server.limits
+        messages = self.reader.messages
+        self.is_idle = not messages
+        if self.is_idle and self.server.is_draining:
+            return None
+        try:
+            with trio.move_on_after(limits.idle_seconds):
+                while not messages:
+                    if not await self._feed():
+                        return None
+            if not messages:
+                return None
+            self.is_idle = False
+            if not messages[0].has_head:
+                with trio.move_on_after(limits.header_seconds):
+                    while not messages[0].has_head:
+                        if not await self._feed():
+                            return None
+            if not messages[0].has_head:
+                await self._refuse(408)
+                return None
+        except MalformedRequestError as error:
+            logging.info("Connection closed: %s", error)
+            await self._refuse(400)
+            return None
+        except TooLargeError:
+            await self._refuse(431)
+            return None
+        request = messages.popleft()
+        request.arrived = trio.current_time()
+        return request
+
+    async def _feed(self) -> bool:
+        data = await receive(self.sock)
+        if not data:
+            return False
+        self.reader.feed(data)
+        if self.reader.head_bytes > self.server.limits.header_bytes:
+            raise TooLargeError("the head of the request is too long")
+        return True
+
+    async def _refuse(self, status: int) -> None:
+        await send_all(self.sock, encode_response(status, _CLOSE, b""))
+        await self._discard_input()
+
+    async def _serve(self, request: Request) -> None:
+        exchange = Exchange(request, self)
+        server = self.server
+        server.exchanges.add(exchange)
+        if request.find(b"expect") is not None and not request.is_complete:
+            await send_all(self.sock, b"HTTP/1.1 100 Continue\r\n\r\n")
+        try:
+            with exchange.scope:
+                await server.handler(exchange)
+        finally:
+            server.exchanges.discard(exchange)
+        if not exchange.has_answered:
+            self.is_broken = True
+        elif not request.is_complete and not self.is_broken:
+            await self._discard_body(request)
+
+    async def _discard_body(self, request: Request) -> None:
+        """Reads the rest of a body nobody wants, so that the answer arrives.
+
+        Closing a connection with unread bytes resets it.
+        """
+        with trio.move_on_after(_DISCARD_SECONDS) as scope:
+            while not request.is_complete and request.received < _DISCARD_BYTES:
+                await self.read_more(request)
+                request.take_body()
+        if scope.cancelled_caught or not request.is_complete:
+            self.is_broken = True
+
+    async def _discard_input(self) -> None:
+        self.sock.shutdown(socket.SHUT_WR)
+        with trio.move_on_after(_DISCARD_SECONDS):
+            while await receive(self.sock):
+                pass
+
+
+@attrs.define(eq=False)
+class RelayServer:
+    """Accepts connections and hands their requests to a handler.
+
+    :param limits: what clients may send.
+    :param exchanges: requests without a complete answer.
+    """
+
+    handler: Handler
+    limits: ClientLimits = attrs.field(factory=ClientLimits)
+    exchanges: set[Exchange] = attrs.field(factory=set)
+    is_draining: bool = False
+    _connections: set[_Connection] = attrs.field(factory=set)
+
+    async def serve(
+        self,
+        address: Address,
+        *,
+        task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Listens until cancelled.
+
+        :raises OSError: when the address cannot be listened on.
+        """
+        listener = listen(address)
+        with listener:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._check_callers)
+                task_status.started()
+                while True:
+                    try:
+                        sock = await accept(listener)
+                    except OSError as error:
+                        logging.warning("Connection not accepted: %s", error)
+                        await trio.sleep(LEFT_CHECK_SECONDS)
+                        continue
+                    nursery.start_soon(self._run_connection, sock)
+
+    async def drain(self) -> None:
+        """Closes idle connections and waits for the requests in progress."""
+        self.is_draining = True
+        while self.exchanges:
+            await trio.sleep(LEFT_CHECK_SECONDS / 2)
+
+    def close_idle(self) -> None:
+        """Closes the connections on which no request has begun."""
+        for connection in list(self._connections):
+            if connection.is_idle:
+                connection.scope.cancel()
+
+    async def _run_connection(self, sock: socket.socket) -> None:
+        connection = _Connection(self, sock)
+        self._connections.add(connection)
+        try:
+            await connection.run()
+        except (TransferError, MalformedRequestError, TooLargeError) as error:
+            logging.debug("Connection ended: %s", error)
+        except Exception:
+            # A fault in one request must not end those of all other callers.
+            logging.exception("Request failed")
+        finally:
+            self._connections.discard(connection)
+            sock.close()
+
+    async def _check_callers(self) -> None:
+        while True:
+            await trio.sleep(LEFT_CHECK_SECONDS)
+            for exchange in list(self.exchanges):
+                exchange.check_caller()
+
+
+def create_relay_server(handler: Handler) -> RelayServer:
+    """Creates a server.
+
+    :param handler: answers each request.
+    """
+    return RelayServer(handler)
--- /dev/null
+++ b/src/coltsfootspar/relay/sockets.py
@@ -0,0 +1,132 @@
+"""Sockets: sending, receiving and what is set on each connection.
+
+The relay uses sockets and not trio streams: a call that can proceed at once then
+costs one system call and no pass through the scheduler.
+"""
+
+import errno
+import socket
+
+import trio
+
+from coltsfootspar.exceptions import TransferError
+from coltsfootspar.wire import Address
+
+__all__ = ["connect", "is_closed_by_peer", "listen", "receive", "send_all"]
+
+# A connection whose peer confirms nothing for this time is closed. Open
+# connections may go silent for good while new ones work.
+UNCONFIRMED_MS = 1_500
+PROBE_IDLE_SECONDS = 1
+PROBE_INTERVAL_SECONDS = 1
+PROBES = 2
+BACKLOG = 1024
+_RECEIVE_BYTES = 65_536
+
+
+def _set_options(sock: socket.socket) -> None:
+    sock.setblocking(False)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNCONFIRMED_MS)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_IDLE_SECONDS)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_INTERVAL_SECONDS)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, PROBES)
+
+
+async def connect(address: Address, timeout: float) -> socket.socket:
+    """Opens a connection.
+
+    :param timeout: longest wait, seconds.
+    :raises TransferError: when the peer does not accept it in time.
+    """
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        _set_options(sock)
+        code = sock.connect_ex((address.host, address.port))
+        if code == errno.EINPROGRESS:
+            with trio.move_on_after(timeout):
+                await trio.lowlevel.wait_writable(sock)
+                code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if code != 0:
+            text = f"{address} did not accept a connection: {errno.errorcode[code]}"
+            raise TransferError(text, may_have_run=False, code="unreachable")
+    except BaseException:
+        sock.close()
+        raise
+    return sock
+
+
+def listen(address: Address) -> socket.socket:
+    """Opens a listening socket.
+
+    :raises OSError: when the address cannot be listened on.
+    """
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.setblocking(False)
+    sock.bind((address.host, address.port))
+    sock.listen(BACKLOG)
+    return sock
+
+
+async def accept(listener: socket.socket) -> socket.socket:
+    """Waits for a connection."""
+    while True:
+        try:
+            sock, _ = listener.accept()
+        except (BlockingIOError, ConnectionAbortedError):
+            await trio.lowlevel.wait_readable(listener)
+        else:
+            _set_options(sock)
+            return sock
+
+
+async def receive(sock: socket.socket) -> bytes:
+    """Waits for bytes; empty when the peer has closed the connection.
+
+    :raises TransferError: when the connection was reset.
+    """
+    while True:
+        try:
+            return sock.recv(_RECEIVE_BYTES)
+        except BlockingIOError:
+            await trio.lowlevel.wait_readable(sock)
+        except OSError as error:
+            raise TransferError(str(error), may_have_run=True, code="reset") from error
+
+
+async def send_all(sock: socket.socket, data: bytes) -> None:
+    """Sends all bytes.
+
+    :raises TransferError: when the connection was reset.
+    """
+    rest = memoryview(data)
+    while rest:
+        try:
+            rest = rest[sock.send(rest) :]
+        except BlockingIOError:
+            await trio.lowlevel.wait_writable(sock)
+        except OSError as error:
+            raise TransferError(str(error), may_have_run=True, code="reset") from error
+
+
+def is_closed_by_peer(sock: socket.socket) -> bool:
+    """Tells whether the peer has closed or reset the connection."""
+    try:
+        return sock.recv(1, socket.MSG_PEEK) == b""
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+
+
+def has_input(sock: socket.socket) -> bool:
+    """Tells whether bytes or the end of the connection wait to be read."""
+    try:
+        sock.recv(1, socket.MSG_PEEK)
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+    return True
--- a/src/coltsfootspar/replication/__init__.py
+++ b/src/coltsfootspar/replication/__init__.py
@@ -16,6 +16,7 @@
     ClaimStatus,
     EditCells,
     Finish,
+    ReplaceRoutes,
 )
 from coltsfootspar.replication.core import ReplicaOptions, Role
 from coltsfootspar.replication.identity import format_replica
@@ -35,6 +36,7 @@
     "Disk",
     "EditCells",
     "Finish",
+    "ReplaceRoutes",
     "Replica",
     "ReplicaLink",
     "ReplicaOptions",
--- a/src/coltsfootspar/replication/client.py
+++ b/src/coltsfootspar/replication/client.py
@@ -19,11 +19,13 @@
     Abandon,
     Change,
     ChangeResult,
+    CheckRoutes,
     Claim,
     ClaimResult,
     Command,
     EditCells,
     Finish,
+    ReplaceRoutes,
     Result,
 )
 from coltsfootspar.replication.interfaces import ReplicaLink
@@ -36,6 +38,7 @@
     TableReply,
 )
 from coltsfootspar.replication.replica import Replica
+from coltsfootspar.routes import RouteTable, decode_routes
 from coltsfootspar.table import Edit, Table, check_edits
 from coltsfootspar.wire import FrameKind, Message, replication as codec
 
@@ -51,6 +54,7 @@
 _REQUEST_SECONDS = 2.0
 _WATCH_SECONDS = 5.0
 _WATCH_MARGIN = 1.5
+_READ_WAIT_MS = 1_000
 _MIN_PAUSE = 0.05
 _MAX_PAUSE = 0.25
 _MS = 1_000
@@ -179,6 +183,62 @@
         seconds = _WATCH_SECONDS + _WATCH_MARGIN
         return await self._try_read(replica_id, message, decode, seconds)
 
+    async def replace_routes(
+        self, command: ReplaceRoutes, timeout: float | None = None
+    ) -> ChangeResult:
+        """Puts a whole route table in place of the present one.
+
+        :raises NoQuorumError: when no majority answered.
+        """
+        return await self._propose(command, timeout)
+
+    async def read_routes(self, timeout: float | None = None) -> RouteTable:
+        """Reads the routes that are certainly the newest.
+
+        :raises NoQuorumError: when no majority of the replicas confirms it.
+        """
+        newest = await self._propose(CheckRoutes(), timeout)
+        if newest.version == 0:
+            return RouteTable()
+        message = codec.encode_table_request(
+            newest.version - 1, _READ_WAIT_MS, FrameKind.WATCH_ROUTES
+        )
+        with trio.move_on_after(self._get_timeout(timeout)):
+            for replica_id in self._list_leader_first():
+                reply = await self._try_read(
+                    replica_id, message, codec.decode_table_reply
+                )
+                if reply is not None and reply.table_data:
+                    return decode_routes(reply.table_data)
+        raise NoQuorumError("no replica sent the routes", may_have_run=False)
+
+    async def watch_routes(self) -> AsyncIterator[RouteTable]:
+        """Yields each newer route table; versions only grow.
+
+        The iterator never ends; it goes on to the next replica when one is gone
+        or cut off from the leader.
+        """
+        version, position = 0, 0
+        while True:
+            message = codec.encode_table_request(
+                version, int(_WATCH_SECONDS * _MS), FrameKind.WATCH_ROUTES
+            )
+            reply = await self._try_read(
+                self._pick(position),
+                message,
+                codec.decode_table_reply,
+                _WATCH_SECONDS + _WATCH_MARGIN,
+            )
+            if reply is not None and reply.table_data and reply.version > version:
+                version = reply.version
+                yield decode_routes(reply.table_data)
+            if reply is None or not reply.is_current:
+                position += 1
+                await self._pause()
+
+    def _list_leader_first(self) -> list[str]:
+        return sorted(self._replica_ids, key=lambda name: name != self._leader_id)
+
     async def history(
         self, limit: int = 100, before_version: int = 0, timeout: float | None = None
     ) -> tuple[Change, ...]:
--- a/src/coltsfootspar/replication/commands.py
+++ b/src/coltsfootspar/replication/commands.py
@@ -22,7 +22,9 @@
     "Entry",
     "Expire",
     "Finish",
+    "CheckRoutes",
     "NoOperation",
+    "ReplaceRoutes",
     "Result",
 ]
 
@@ -93,10 +95,36 @@
 
 @attrs.frozen
 class AdmitReplica:
-    """Counts a replica with a new disk under its new incarnation."""
+    """Counts a replica with a new disk under its new incarnation.
+
+    :param address: where it listens; empty when the settings of all replicas
+        name the address.
+    """
 
     replica_id: str
     incarnation: int
+    address: str = ""
+
+
+@attrs.frozen
+class ReplaceRoutes:
+    """Puts a whole route table in place of another.
+
+    :param version: version of the new table, chosen by the operator.
+    :param base_version: version that has to be in force.
+    :param digest: hash of the operator's document, equal on every resend.
+    :param data: the encoded table.
+    """
+
+    version: int
+    base_version: int
+    digest: bytes
+    data: bytes
+
+
+@attrs.frozen
+class CheckRoutes:
+    """Asks for the version of the routes, after all entries before it."""
 
 
 @attrs.frozen
@@ -104,7 +132,17 @@
     """Lets the time of the state advance when there are no other commands."""
 
 
-Command = NoOperation | EditCells | Claim | Finish | Abandon | AdmitReplica | Expire
+Command = (
+    NoOperation
+    | EditCells
+    | Claim
+    | Finish
+    | Abandon
+    | AdmitReplica
+    | Expire
+    | ReplaceRoutes
+    | CheckRoutes
+)
 
 
 @attrs.frozen
--- a/src/coltsfootspar/replication/core.py
+++ b/src/coltsfootspar/replication/core.py
@@ -85,6 +85,8 @@
 class ReplicaCore:
     """Term, log, state and role of one replica.
 
+    :param find_address: address of a replica, recorded when it is admitted; empty
+        when the settings name the addresses.
     :param applied_bytes: size of the entries applied since the last snapshot.
     :param leader_contact: trio clock at the last message of a leader, seconds.
     :param caught_up: trio clock when the replica had last applied all that the
@@ -104,6 +106,7 @@
     snapshots: SnapshotStore
     state: ReplicatedState
     commit_index: int
+    find_address: Callable[[str], str] = lambda replica_id: ""
     applied_bytes: int = 0
     role: Role = Role.FOLLOWER
     leader_id: str | None = None
@@ -254,13 +257,13 @@
     def commit(self, index: int) -> None:
         """Applies the entries up to an index that is known to be committed."""
         self.commit_index = max(self.commit_index, index)
-        version = self.state.table.table.version
+        version = self._table_versions
         try:
             while self.state.index < self.commit_index:
                 self._apply(self.log.get_entry(self.state.index + 1))
         except ReplicationError as error:
             self.fail(error)
-        if self.state.table.table.version != version:
+        if self._table_versions != version:
             self.wake_watchers()
         if self._is_snapshot_due():
             self.needs_snapshot.set()
@@ -295,6 +298,10 @@
         if not waits and self._claim_events.get(key) is event:
             del self._claim_events[key]
 
+    @property
+    def _table_versions(self) -> tuple[int, int]:
+        return self.state.table.table.version, self.state.routes.table.version
+
     def _is_snapshot_due(self) -> bool:
         options = self.options
         behind = self.state.index - self.snapshots.index
--- a/src/coltsfootspar/replication/identity.py
+++ b/src/coltsfootspar/replication/identity.py
@@ -16,8 +16,10 @@
     "ReplicaIdentity",
     "format_replica",
     "load_ballot",
+    "load_document",
     "load_identity",
     "save_ballot",
+    "save_document",
     "save_identity",
 ]
 
@@ -87,7 +89,7 @@
         if not name.startswith(_TEMPORARY_PREFIX)
     ]
     if _IDENTITY_NAME in names:
-        identity = ReplicaIdentity(**await _load(disk, _IDENTITY_NAME))
+        identity = ReplicaIdentity(**await load_document(disk, _IDENTITY_NAME))
         if identity.replica_id != replica_id:
             raise StorageError(
                 f"the data folder belongs to replica {identity.replica_id!r}, "
@@ -113,22 +115,23 @@
 
 async def save_identity(disk: Disk, identity: ReplicaIdentity) -> None:
     """Writes the identity durably."""
-    await _save(disk, _IDENTITY_NAME, attrs.asdict(identity))
+    await save_document(disk, _IDENTITY_NAME, attrs.asdict(identity))
 
 
 async def load_ballot(disk: Disk) -> Ballot:
     """Reads the ballot, or returns that of a new replica."""
     if _BALLOT_NAME not in await disk.list_files():
         return Ballot()
-    return Ballot(**await _load(disk, _BALLOT_NAME))
+    return Ballot(**await load_document(disk, _BALLOT_NAME))
 
 
 async def save_ballot(disk: Disk, ballot: Ballot) -> None:
     """Writes the ballot durably."""
-    await _save(disk, _BALLOT_NAME, attrs.asdict(ballot))
+    await save_document(disk, _BALLOT_NAME, attrs.asdict(ballot))
 
 
-async def _save(disk: Disk, name: str, content: dict) -> None:
+async def save_document(disk: Disk, name: str, content: dict) -> None:
+    """Writes a small document durably."""
     text = json.dumps(content).encode()
     temporary = _TEMPORARY_PREFIX + name
     await disk.remove(temporary)
@@ -138,7 +141,11 @@
     await disk.sync_folder()
 
 
-async def _load(disk: Disk, name: str) -> dict:
+async def load_document(disk: Disk, name: str) -> dict:
+    """Reads a small document.
+
+    :raises CorruptLogError: when it is damaged.
+    """
     data = await disk.read(name)
     text = data[_CRC_DIGITS + 1 :]
     if data[:_CRC_DIGITS] != b"%08x" % crc32c.crc32c(text):
--- a/src/coltsfootspar/replication/leadership.py
+++ b/src/coltsfootspar/replication/leadership.py
@@ -133,6 +133,14 @@
             )
         return proposal.result
 
+    def get_contact(self, replica_id: str) -> float:
+        """Returns when a replica last answered.
+
+        :returns: trio clock at which the answered request was sent, seconds.
+        """
+        peer = self._peers.get(replica_id)
+        return peer.contact if peer is not None else trio.current_time()
+
     def resolve(self, index: int, result: Result) -> None:
         """Hands the result of an applied entry to whoever proposed it."""
         proposal = self._proposals.get(index)
@@ -240,7 +248,9 @@
         pending = self._admissions.get(peer.replica_id)
         known = pending[1] if pending else core.state.get_incarnation(peer.replica_id)
         if known != peer.incarnation:
-            index = self._append(AdmitReplica(peer.replica_id, peer.incarnation))
+            address = core.find_address(peer.replica_id)
+            command = AdmitReplica(peer.replica_id, peer.incarnation, address)
+            index = self._append(command)
             self._admissions[peer.replica_id] = (index, peer.incarnation)
 
     async def _send_snapshot(self, peer: _Peer) -> None:
--- a/src/coltsfootspar/replication/messages.py
+++ b/src/coltsfootspar/replication/messages.py
@@ -12,6 +12,8 @@
     "HistoryReply",
     "InstallReply",
     "InstallRequest",
+    "JoinReply",
+    "JoinRequest",
     "ProposeReply",
     "ProposeStatus",
     "ReplicaStatus",
@@ -138,6 +140,33 @@
     table_data: bytes = b""
 
 
+@attrs.frozen
+class JoinRequest:
+    """Asks for a seat in the cluster.
+
+    :param address: where the process listens for the other replicas.
+    """
+
+    address: str
+    process_id: str
+
+
+@attrs.frozen
+class JoinReply:
+    """Answers a :class:`JoinRequest`.
+
+    :param replica_id: the seat that is offered, empty when none is free.
+    :param leader_address: where to ask instead, empty when it is not known.
+    :param seats: address of each seat after the entries up to the index.
+    :param index: last entry that the answering replica has applied.
+    """
+
+    replica_id: str
+    leader_address: str
+    seats: dict[str, str]
+    index: int
+
+
 @attrs.frozen
 class HistoryReply:
     """Answers a request for changes, the latest first.
--- a/src/coltsfootspar/replication/replica.py
+++ b/src/coltsfootspar/replication/replica.py
@@ -233,6 +233,18 @@
         reply = TableReply(table.version, self._core.is_current, data)
         return codec.encode_table_reply(reply)
 
+    async def _serve_watch_routes(self, message: Message) -> Message:
+        after_version, wait_ms = codec.decode_table_request(message)
+        core = self._core
+        with trio.move_on_after(min(wait_ms / 1e3, _MAX_WAIT_SECONDS)):
+            while core.state.routes.table.version <= after_version and core.is_current:
+                await core.table_changed.wait()
+        routes = core.state.routes
+        version = routes.table.version
+        data = routes.data if version > after_version else b""
+        reply = TableReply(version, core.is_current, data)
+        return codec.encode_table_reply(reply, FrameKind.ROUTES)
+
     async def _serve_history(self, message: Message) -> Message:
         limit, before_version = codec.decode_history_request(message)
         changes = self.list_history(min(limit, _MAX_HISTORY), before_version)
@@ -274,6 +286,7 @@
     FrameKind.PROPOSE: Replica._serve_propose,
     FrameKind.READ_TABLE: Replica._serve_read_table,
     FrameKind.WATCH_TABLE: Replica._serve_watch_table,
+    FrameKind.WATCH_ROUTES: Replica._serve_watch_routes,
     FrameKind.HISTORY: Replica._serve_history,
     FrameKind.LOOK_UP_CLAIM: Replica._serve_look_up,
     FrameKind.STATUS: Replica._serve_status,
@@ -289,6 +302,7 @@
     timers: TimerService,
     source: random.Random,
     clock: Callable[[], float] = time.time,
+    find_address: Callable[[str], str] = lambda replica_id: "",
     options: ReplicaOptions | None = None,
 ) -> Replica:
     """Reads the data folder and creates the replica that it belongs to.
@@ -299,6 +313,7 @@
     :param replica_ids: all replicas of the cluster, this one included.
     :param link: requests to the other replicas.
     :param source: random numbers for election timeouts and incarnations.
+    :param find_address: address of a replica, recorded when it is admitted.
     :param clock: wall clock, seconds; stamped into commands by the leader.
     :raises StorageError: when the folder cannot be read or is another replica's.
     :raises CorruptLogError: when its content is damaged.
@@ -323,6 +338,7 @@
         snapshots=snapshots,
         state=state,
         commit_index=state.index,
+        find_address=find_address,
     )
     log.on_synced = lambda: core.leader_term and core.leader_term.advance()
     if identity.is_admitted:
--- a/src/coltsfootspar/replication/state.py
+++ b/src/coltsfootspar/replication/state.py
@@ -10,13 +10,16 @@
 from coltsfootspar.replication.commands import (
     Abandon,
     AdmitReplica,
+    CheckRoutes,
     Claim,
     Command,
     EditCells,
     Entry,
     Finish,
+    ReplaceRoutes,
     Result,
 )
+from coltsfootspar.replication.routestate import RouteState
 from coltsfootspar.replication.tablestate import TableState
 from coltsfootspar.wire import replication as codec
 
@@ -32,6 +35,7 @@
     It changes only through :meth:`apply`, and takes the time from the entries.
 
     :param replicas: incarnation of each replica that was admitted.
+    :param seats: address of each replica that was admitted with one.
     """
 
     index: int = 0
@@ -40,6 +44,8 @@
     table: TableState = attrs.field(factory=TableState)
     claims: ClaimState = attrs.field(factory=ClaimState)
     replicas: dict[str, int] = attrs.field(factory=dict)
+    routes: RouteState = attrs.field(factory=RouteState)
+    seats: dict[str, str] = attrs.field(factory=dict)
 
     def copy(self) -> "ReplicatedState":
         """Returns a copy that later entries leave alone."""
@@ -50,6 +56,8 @@
             self.table.copy(),
             self.claims.copy(),
             self.replicas.copy(),
+            self.routes.copy(),
+            self.seats.copy(),
         )
 
     def get_incarnation(self, replica_id: str) -> int:
@@ -89,6 +97,12 @@
                 return self.claims.abandon(command, self.time_ms)
             case AdmitReplica():
                 self.replicas[command.replica_id] = command.incarnation
+                if command.address:
+                    self.seats[command.replica_id] = command.address
+            case ReplaceRoutes():
+                return self.routes.replace(command)
+            case CheckRoutes():
+                return self.routes.check()
         return None
 
     def list_items(self) -> Iterator[tuple[str, Any]]:
@@ -96,6 +110,9 @@
         yield "timeMs", self.time_ms
         yield from (("replica", pair) for pair in self.replicas.items())
         yield from (("node", pair) for pair in self.claims.nodes.items())
+        yield from (("seat", pair) for pair in self.seats.items())
+        yield "routes", self.routes.data
+        yield from (("acceptedRoutes", pair) for pair in self.routes.accepted.items())
         yield "table", self.table.table
         yield from (("change", change) for change in self.table.history)
         yield from (("result", kept) for kept in self.table.results.items())
@@ -119,6 +136,12 @@
                 self.table.keep_result(*value)
             case "claim":
                 self.claims.put(value)
+            case "seat":
+                self.seats[value[0]] = value[1]
+            case "routes":
+                self.routes.load(value)
+            case "acceptedRoutes":
+                self.routes.accepted[value[0]] = value[1]
             case "abandonedClaim":
                 self.claims.keep_abandoned(value)
 
--- /dev/null
+++ b/src/coltsfootspar/routes/__init__.py
@@ -0,0 +1,27 @@
+"""Routes: which service answers a host and path, and under which terms."""
+
+from coltsfootspar.routes.checks import check_routes
+from coltsfootspar.routes.codec import decode_routes, encode_routes
+from coltsfootspar.routes.matching import RouteMatcher, create_route_matcher
+from coltsfootspar.routes.model import (
+    ClientLimits,
+    Repetition,
+    Route,
+    RouteTable,
+    Service,
+    Target,
+)
+
+__all__ = [
+    "ClientLimits",
+    "Repetition",
+    "Route",
+    "RouteMatcher",
+    "RouteTable",
+    "Service",
+    "Target",
+    "check_routes",
+    "create_route_matcher",
+    "decode_routes",
+    "encode_routes",
+]
--- /dev/null
+++ b/src/coltsfootspar/settings/fleet.py
@@ -0,0 +1,142 @@
+"""Settings of the programs on hosts that find each other through seeds."""
+
+import pathlib
+import re
+
+import attrs
+import cattrs
+import jsonc
+
+from coltsfootspar.exceptions import SettingsError, WireError
+from coltsfootspar.wire import Address, parse_address
+
+__all__ = [
+    "FleetBounds",
+    "FleetNodeSettings",
+    "FleetReplicaSettings",
+    "load_fleet_node_settings",
+    "load_fleet_replica_settings",
+]
+
+_KEY = re.compile(r"(?:[0-9a-fA-F]{2}){16,}")
+
+
+def _check_positive(instance: object, field: attrs.Attribute, value: float) -> None:
+    if not value > 0:
+        raise ValueError(f"{field.name}: {value!r} is not above 0")
+
+
+def _check_key(instance: object, field: attrs.Attribute, value: str) -> None:
+    if not _KEY.fullmatch(value):
+        raise ValueError(f"{field.name}: not at least 32 hexadecimal digits")
+
+
+@attrs.frozen(kw_only=True)
+class FleetBounds:
+    """Times and budgets that the operators set for the deployment.
+
+    :param drain_seconds: a backend server that leaves gets no new work after this.
+    :param grace_seconds: time from SIGTERM to the forced end of a process.
+    :param repeat_ratio: repeats for each request of a service, over all nodes.
+    :param repeat_extra: repeats allowed besides in each window, over all nodes.
+    :param repeat_window_seconds: length of the window of both.
+    """
+
+    drain_seconds: float = attrs.field(default=2.0, validator=_check_positive)
+    grace_seconds: float = attrs.field(default=6.0, validator=_check_positive)
+    repeat_ratio: float = 0.2
+    repeat_extra: float = 40.0
+    repeat_window_seconds: float = attrs.field(default=10.0, validator=_check_positive)
+
+
+@attrs.frozen(kw_only=True)
+class _Common:
+    """Settings that both programs have.
+
+    :param id: name of the process, unique in the deployment.
+    :param host: IP address of the own host.
+    :param seeds: control addresses of some hosts with a replica.
+    :param shared_key: secret of the deployment, hexadecimal digits.
+    :param peer_port: TCP port of the internal protocol, equal on all hosts.
+    :param gossip_port: UDP port of the membership, equal on all hosts.
+    """
+
+    id: str
+    host: str
+    region: str
+    data_centre: str
+    seeds: tuple[Address, ...]
+    shared_key: str = attrs.field(repr=False, validator=_check_key)
+    control: Address
+    peer_port: int
+    gossip_port: int
+    metrics_port: int
+    log_level: str = "info"
+    bounds: FleetBounds = attrs.field(factory=FleetBounds)
+
+
+@attrs.frozen(kw_only=True)
+class FleetNodeSettings(_Common):
+    """Settings of a node.
+
+    :param service: service of the backend server on the own host.
+    :param inbound: where other nodes send calls.
+    :param outbound: where callers on the own host send requests.
+    :param ready: where the host asks whether the node takes requests.
+    """
+
+    service: str
+    inbound: Address
+    outbound: Address
+    ready: Address
+
+
+@attrs.frozen(kw_only=True)
+class FleetReplicaSettings(_Common):
+    """Settings of a replica.
+
+    :param is_first_start: true when the whole deployment starts for the first time,
+        with empty disks.
+    """
+
+    data_folder: str
+    is_first_start: bool
+
+
+def _structure_address(value: object, _: type) -> Address:
+    try:
+        return parse_address(str(value))
+    except WireError as error:
+        raise ValueError(str(error)) from error
+
+
+_converter = cattrs.Converter(detailed_validation=True)
+_converter.register_structure_hook(Address, _structure_address)
+
+
+def _load(path: str, model: type) -> object:
+    try:
+        content = jsonc.loads(pathlib.Path(path).read_text(encoding="utf-8"))
+        return _converter.structure(content, model)
+    except OSError as error:
+        raise SettingsError([f"{path}: {error.strerror}"]) from error
+    except ValueError as error:
+        raise SettingsError([f"{path}: {error}"]) from error
+    except cattrs.BaseValidationError as error:
+        raise SettingsError(cattrs.transform_error(error, path="settings")) from error
+
+
+def load_fleet_node_settings(path: str) -> FleetNodeSettings:
+    """Reads and checks the settings of a node.
+
+    :raises SettingsError: naming all faults.
+    """
+    return _load(path, FleetNodeSettings)
+
+
+def load_fleet_replica_settings(path: str) -> FleetReplicaSettings:
+    """Reads and checks the settings of a replica.
+
+    :raises SettingsError: naming all faults.
+    """
+    return _load(path, FleetReplicaSettings)
--- a/src/coltsfootspar/telemetry/logs.py
+++ b/src/coltsfootspar/telemetry/logs.py
@@ -1,8 +1,9 @@
-"""Structured logs: one JSON object a line on standard error."""
+"""Structured logs: one JSON object a line."""
 
 import json
 import logging as standard_logging
 import sys
+from typing import TextIO
 
 from absl import flags, logging
 
@@ -35,22 +36,24 @@
             "source": f"{record.module}:{record.lineno}",
             "message": record.getMessage(),
         }
+        entry.update(getattr(record, "fields", {}))
         if record.exc_info:
             entry["exception"] = self.formatException(record.exc_info)
-        return json.dumps(entry)
+        return json.dumps(entry, default=str)
 
 
-def set_up_logs(process: str, level: str) -> None:
-    """Directs the logs of all modules to standard error.
+def set_up_logs(process: str, level: str, stream: TextIO = sys.stderr) -> None:
+    """Directs the logs of all modules to a stream.
 
     :param process: id of the node or replica.
     :param level: ``debug``, ``info``, ``warning`` or ``error``.
+    :param stream: standard error unless given.
     """
     # absl holds its log back until its own flags are parsed; the programs take
     # their arguments through defopt.
     flags.FLAGS.mark_as_parsed()
     handler = logging.get_absl_handler()
     handler.setFormatter(JsonFormatter(process))
-    handler.python_handler.stream = sys.stderr
+    handler.python_handler.stream = stream
     logging.use_absl_handler()
     logging.set_verbosity(_VERBOSITY[level])
--- a/src/coltsfootspar/wire/frames.py
+++ b/src/coltsfootspar/wire/frames.py
@@ -73,6 +73,10 @@
     HISTORY_REPLY = 72
     LOOK_UP_CLAIM = 73
     LOOK_UP_CLAIM_REPLY = 74
+    WATCH_ROUTES = 75
+    ROUTES = 76
+    JOIN = 77
+    JOIN_REPLY = 78
 
 
 class FrameFlag(enum.IntFlag):
--- a/src/coltsfootspar/wire/replication.capnp
+++ b/src/coltsfootspar/wire/replication.capnp
@@ -50,6 +50,19 @@
 struct AdmitReplica {
   replicaId @0 :Text;
   incarnation @1 :UInt64;
+  address @2 :Text;
+}
+
+struct ReplaceRoutes {
+  version @0 :UInt64;
+  baseVersion @1 :UInt64;
+  digest @2 :Data;
+  data @3 :Data;
+}
+
+struct AcceptedRoutes {
+  version @0 :UInt64;
+  digest @1 :Data;
 }
 
 struct Command {
@@ -61,6 +74,8 @@
     abandon @4 :Abandon;
     admitReplica @5 :AdmitReplica;
     expire @6 :Void;
+    replaceRoutes @7 :ReplaceRoutes;
+    checkRoutes @8 :Void;
   }
 }
 
@@ -124,6 +139,23 @@
   incarnation @1 :UInt64;
 }
 
+struct Seat {
+  replicaId @0 :Text;
+  address @1 :Text;
+}
+
+struct JoinRequest {
+  address @0 :Text;
+  processId @1 :Text;
+}
+
+struct JoinReply {
+  replicaId @0 :Text;
+  leaderAddress @1 :Text;
+  seats @2 :List(Seat);
+  index @3 :UInt64;
+}
+
 struct SnapshotItem {
   union {
     timeMs @0 :UInt64;
@@ -134,6 +166,9 @@
     abandonedClaim @5 :Text;
     replica @6 :Incarnation;
     node @7 :Incarnation;
+    routes @8 :Data;
+    acceptedRoutes @9 :AcceptedRoutes;
+    seat @10 :Seat;
   }
 }
 
--- a/src/coltsfootspar/wire/replication.py
+++ b/src/coltsfootspar/wire/replication.py
@@ -12,6 +12,7 @@
     Abandon,
     AdmitReplica,
     Change,
+    CheckRoutes,
     ChangeResult,
     ChangeStatus,
     Claim,
@@ -24,6 +25,7 @@
     Expire,
     Finish,
     NoOperation,
+    ReplaceRoutes,
 )
 from coltsfootspar.replication.messages import (
     AppendReply,
@@ -31,6 +33,8 @@
     HistoryReply,
     InstallReply,
     InstallRequest,
+    JoinReply,
+    JoinRequest,
     ProposeReply,
     ProposeStatus,
     ReplicaStatus,
@@ -63,6 +67,8 @@
     "decode_history_request",
     "decode_install",
     "decode_install_reply",
+    "decode_join",
+    "decode_join_reply",
     "decode_look_up",
     "decode_look_up_reply",
     "decode_propose",
@@ -82,6 +88,8 @@
     "encode_history_request",
     "encode_install",
     "encode_install_reply",
+    "encode_join",
+    "encode_join_reply",
     "encode_look_up",
     "encode_look_up_reply",
     "encode_propose",
@@ -193,6 +201,15 @@
             body = message.init("admitReplica")
             body.replicaId = command.replica_id
             body.incarnation = command.incarnation
+            body.address = command.address
+        case ReplaceRoutes():
+            body = message.init("replaceRoutes")
+            body.version = command.version
+            body.baseVersion = command.base_version
+            body.digest = command.digest
+            body.data = command.data
+        case CheckRoutes():
+            message.checkRoutes = None
         case Expire():
             message.expire = None
         case NoOperation():
@@ -242,7 +259,14 @@
             return Abandon(body.key, body.claimId, body.mayHaveRun)
         case "admitReplica":
             body = reader.admitReplica
-            return AdmitReplica(body.replicaId, body.incarnation)
+            return AdmitReplica(body.replicaId, body.incarnation, body.address)
+        case "replaceRoutes":
+            body = reader.replaceRoutes
+            return ReplaceRoutes(
+                body.version, body.baseVersion, bytes(body.digest), bytes(body.data)
+            )
+        case "checkRoutes":
+            return CheckRoutes()
         case "expire":
             return Expire()
     return NoOperation()
@@ -399,6 +423,18 @@
     builder.processId, builder.incarnation = pair
 
 
+def _fill_accepted_routes(builder: Any, pair: tuple[int, bytes]) -> None:
+    builder.version, builder.digest = pair
+
+
+def _fill_seat(builder: Any, pair: tuple[str, str]) -> None:
+    builder.replicaId, builder.address = pair
+
+
+def _read_seat(reader: Any) -> tuple[str, str]:
+    return reader.replicaId, reader.address
+
+
 _ITEM_WRITERS = {
     "table": _fill_table,
     "change": _fill_change,
@@ -406,6 +442,8 @@
     "claim": _fill_record,
     "replica": _fill_incarnation,
     "node": _fill_incarnation,
+    "acceptedRoutes": _fill_accepted_routes,
+    "seat": _fill_seat,
 }
 _ITEM_READERS = {
     "timeMs": lambda value: value,
@@ -416,6 +454,9 @@
     "abandonedClaim": lambda value: value,
     "replica": lambda reader: (reader.processId, reader.incarnation),
     "node": lambda reader: (reader.processId, reader.incarnation),
+    "routes": bytes,
+    "acceptedRoutes": lambda reader: (reader.version, bytes(reader.digest)),
+    "seat": _read_seat,
 }
 
 
@@ -646,12 +687,14 @@
     return _decode(_schema.ProposeReply, message.payload, read)
 
 
-def encode_table_request(after_version: int, wait_ms: int) -> Message:
-    """Encodes a watch of the table."""
+def encode_table_request(
+    after_version: int, wait_ms: int, kind: FrameKind = FrameKind.WATCH_TABLE
+) -> Message:
+    """Encodes a watch of the table or of the routes."""
     payload = _schema.TableRequest.new_message(
         afterVersion=after_version, waitMs=wait_ms
     )
-    return Message(FrameKind.WATCH_TABLE, payload.to_bytes())
+    return Message(kind, payload.to_bytes())
 
 
 def decode_table_request(message: Message) -> tuple[int, int]:
@@ -664,14 +707,14 @@
     )
 
 
-def encode_table_reply(reply: TableReply) -> Message:
-    """Encodes the table; its data is the body."""
+def encode_table_reply(reply: TableReply, kind: FrameKind = FrameKind.TABLE) -> Message:
+    """Encodes the table or the routes; the data is the body."""
     payload = _schema.TableReply.new_message(
         version=reply.version,
         hasTable=bool(reply.table_data),
         isCurrent=reply.is_current,
     )
-    return Message(FrameKind.TABLE, payload.to_bytes(), reply.table_data)
+    return Message(kind, payload.to_bytes(), reply.table_data)
 
 
 def decode_table_reply(message: Message) -> TableReply:
@@ -796,3 +839,44 @@
             incarnation=r.incarnation,
         ),
     )
+
+
+def encode_join(request: JoinRequest) -> Message:
+    """Encodes the request of a process that has no seat."""
+    payload = _schema.JoinRequest.new_message()
+    payload.address = request.address
+    payload.processId = request.process_id
+    return Message(FrameKind.JOIN, payload.to_bytes())
+
+
+def decode_join(message: Message) -> JoinRequest:
+    """Decodes the request of a process that has no seat."""
+    return _decode(
+        _schema.JoinRequest,
+        message.payload,
+        lambda r: JoinRequest(r.address, r.processId),
+    )
+
+
+def encode_join_reply(reply: JoinReply) -> Message:
+    """Encodes the reply to a process that has no seat."""
+    payload = _schema.JoinReply.new_message()
+    payload.replicaId = reply.replica_id
+    payload.leaderAddress = reply.leader_address
+    payload.index = reply.index
+    _fill_list(payload, "seats", tuple(reply.seats.items()), _fill_seat)
+    return Message(FrameKind.JOIN_REPLY, payload.to_bytes())
+
+
+def decode_join_reply(message: Message) -> JoinReply:
+    """Decodes the reply to a process that has no seat."""
+    return _decode(
+        _schema.JoinReply,
+        message.payload,
+        lambda r: JoinReply(
+            r.replicaId,
+            r.leaderAddress,
+            dict(_read_seat(seat) for seat in r.seats),
+            r.index,
+        ),
+    )
