--- a/src/coltsfootspar/relay/server.py
+++ b/src/coltsfootspar/relay/server.py
@@ -20,7 +20,6 @@
     Response,
     encode_chunk,
     encode_response,
-    filter_headers,
 )
 from coltsfootspar.relay.sockets import (
     accept,
