--- a/src/coltsfootspar/wire/replication.capnp
+++ b/src/coltsfootspar/wire/replication.capnp
@@ -55,7 +55,7 @@
 
 struct ReplaceRoutes {
   version @0 :UInt64;
-  baseVersion @1 :UInt64;
+  basis @1 :UInt64;
   digest @2 :Data;
   data @3 :Data;
 }
--- a/src/coltsfootspar/wire/replication.py
+++ b/src/coltsfootspar/wire/replication.py
@@ -205,7 +205,7 @@
         case ReplaceRoutes():
             body = message.init("replaceRoutes")
             body.version = command.version
-            body.baseVersion = command.base_version
+            body.basis = command.base_version
             body.digest = command.digest
             body.data = command.data
         case CheckRoutes():
@@ -263,7 +263,7 @@
         case "replaceRoutes":
             body = reader.replaceRoutes
             return ReplaceRoutes(
-                body.version, body.baseVersion, bytes(body.digest), bytes(body.data)
+                body.version, body.basis, bytes(body.digest), bytes(body.data)
             )
         case "checkRoutes":
             return CheckRoutes()
