--- a/src/coltsfootspar/fleet/common.py
+++ b/src/coltsfootspar/fleet/common.py
@@ -5,8 +5,6 @@
 import time
 from collections.abc import AsyncIterator, Callable
 
-import attrs
-import trio
 from absl import logging
 
 from coltsfootspar.membership import Membership, NodeIdentity, create_membership
@@ -18,6 +16,7 @@
 
 __all__ = [
     "DEPLOYMENT",
+    "STOP_SIGNALS",
     "create_fleet_identity",
     "create_fleet_membership",
     "create_metrics_handler",
@@ -26,6 +25,7 @@
 ]
 
 DEPLOYMENT = "coltsfootspar"
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 _METRICS_TYPE = [(b"Content-Type", b"text/plain; version=0.0.4")]
 
 Settings = FleetNodeSettings | FleetReplicaSettings
@@ -85,15 +85,3 @@
         logging.info("Received %s", signal.Signals(number).name)
         if number != signal.SIGHUP:
             return
-
-
-@attrs.frozen
-class Stopwatch:
-    """Measures the time since its creation on the trio clock."""
-
-    start: float = attrs.field(factory=trio.current_time)
-
-    @property
-    def seconds(self) -> float:
-        """Time since the creation, seconds."""
-        return trio.current_time() - self.start
--- a/src/coltsfootspar/fleet/node.py
+++ b/src/coltsfootspar/fleet/node.py
@@ -1,13 +1,15 @@
 """Runs a node beside a backend server."""
 
+import functools
 import random
-import signal
+from collections.abc import Awaitable, Callable
 
 import attrs
 import trio
 from absl import logging
 
 from coltsfootspar.fleet.common import (
+    STOP_SIGNALS,
     create_fleet_identity,
     create_fleet_membership,
     create_metrics_handler,
@@ -100,32 +102,30 @@
     metrics: RelayServer
     is_stopping: bool = False
 
-    async def run(self) -> int:
-        """Runs until SIGTERM or SIGINT.
+    async def run(self, wait_for_stop: Callable[[], Awaitable[None]]) -> int:
+        """Runs until it is to stop.
 
+        :param wait_for_stop: returns when the process is to stop.
         :returns: exit code; 0 when no request was cut.
         """
         settings = self.settings
-        own = settings.host
-        numbers = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
-        with trio.open_signal_receiver(*numbers) as signals:
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(self.timers.run)
-                nursery.start_soon(self.links.run)
-                nursery.start_soon(self.membership.run)
-                nursery.start_soon(self.routes.follow, self.client)
-                nursery.start_soon(self._sweep)
-                await nursery.start(self.control.serve, settings.control)
-                await nursery.start(self.inbound.serve, settings.inbound)
-                await nursery.start(self.outbound.serve, settings.outbound)
-                await nursery.start(self.ready.serve, settings.ready)
-                address = Address(own, settings.metrics_port)
-                await nursery.start(self.metrics.serve, address)
-                logging.info("Node %s has started", settings.id)
-                await wait_for_stop(signals)
-                is_clean = await self._stop()
-                await self.membership.depart()
-                nursery.cancel_scope.cancel()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.timers.run)
+            nursery.start_soon(self.links.run)
+            nursery.start_soon(self.membership.run)
+            nursery.start_soon(self.routes.follow, self.client)
+            nursery.start_soon(self._sweep)
+            await nursery.start(self.control.serve, settings.control)
+            await nursery.start(self.inbound.serve, settings.inbound)
+            await nursery.start(self.outbound.serve, settings.outbound)
+            await nursery.start(self.ready.serve, settings.ready)
+            address = Address(settings.host, settings.metrics_port)
+            await nursery.start(self.metrics.serve, address)
+            logging.info("Node %s has started", settings.id)
+            await wait_for_stop()
+            is_clean = await self._stop()
+            await self.membership.depart()
+            nursery.cancel_scope.cancel()
         logging.info("Node %s has stopped, clean: %s", settings.id, is_clean)
         return 0 if is_clean else 3
 
@@ -187,7 +187,9 @@
     :raises OSError: when an address cannot be listened on.
     """
     async with open_udp_port(Address(settings.host, settings.gossip_port)) as port:
-        return await _create_node(settings, dialect, port).run()
+        node = _create_node(settings, dialect, port)
+        with trio.open_signal_receiver(*STOP_SIGNALS) as signals:
+            return await node.run(functools.partial(wait_for_stop, signals))
 
 
 def _create_node(settings: FleetNodeSettings, dialect: Dialect, port) -> FleetNode:
--- a/src/coltsfootspar/fleet/replica.py
+++ b/src/coltsfootspar/fleet/replica.py
@@ -1,8 +1,9 @@
 """Runs a process on a host with a disk: it holds a seat, or waits for one."""
 
 import contextlib
+import functools
 import random
-import signal
+from collections.abc import Awaitable, Callable
 
 import attrs
 import trio
@@ -11,6 +12,7 @@
 from coltsfootspar.exceptions import ColtsfootsparError, FrameError
 from coltsfootspar.fleet.common import (
     DEPLOYMENT,
+    STOP_SIGNALS,
     create_fleet_identity,
     create_fleet_membership,
     create_metrics_handler,
@@ -89,13 +91,13 @@
         """Where other replicas reach this process."""
         return Address(self.settings.host, self.settings.peer_port)
 
-    async def run(self) -> int:
-        """Runs until SIGTERM or SIGINT.
+    async def run(self, wait_for_stop: Callable[[], Awaitable[None]]) -> int:
+        """Runs until it is to stop.
 
+        :param wait_for_stop: returns when the process is to stop.
         :returns: exit code.
         """
         settings = self.settings
-        numbers = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
         self._control = create_relay_server(self._refuse_control)
         page = create_fleet_metrics()
         prefix = "coltsfootspar_replica_"
@@ -104,21 +106,19 @@
             f"{prefix}committed", "Committed entry.", lambda: self._get("commit_index")
         )
         metrics = create_relay_server(create_metrics_handler(page.render))
-        with trio.open_signal_receiver(*numbers) as signals:
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(self.timers.run)
-                nursery.start_soon(self.membership.run)
-                nursery.start_soon(self._hold_seats)
-                await nursery.start(self._control.serve, settings.control)
-                address = Address(settings.host, settings.metrics_port)
-                await nursery.start(metrics.serve, address)
-                logging.info("Replica process %s has started", settings.id)
-                await wait_for_stop(signals)
-                self._control.is_draining = True
-                with trio.move_on_after(_STOP_SECONDS):
-                    await self._control.drain()
-                await self.membership.depart()
-                nursery.cancel_scope.cancel()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.timers.run)
+            nursery.start_soon(self.membership.run)
+            nursery.start_soon(self._hold_seats)
+            await nursery.start(self._control.serve, settings.control)
+            address = Address(settings.host, settings.metrics_port)
+            await nursery.start(metrics.serve, address)
+            logging.info("Replica process %s has started", settings.id)
+            await wait_for_stop()
+            with trio.move_on_after(_STOP_SECONDS):
+                await self._control.drain()
+            await self.membership.depart()
+            nursery.cancel_scope.cancel()
         logging.info("Replica process %s has stopped", settings.id)
         return 0
 
@@ -366,4 +366,5 @@
         process = FleetReplica(
             settings, dialect, membership, timers, create_seat_map(peers), source
         )
-        return await process.run()
+        with trio.open_signal_receiver(*STOP_SIGNALS) as signals:
+            return await process.run(functools.partial(wait_for_stop, signals))
