--- a/src/coltsfootspar/fleet/replica.py
+++ b/src/coltsfootspar/fleet/replica.py
@@ -34,6 +34,7 @@
 from coltsfootspar.replication import (
     Disk,
     Replica,
+    ReplicaOptions,
     create_local_link,
     create_replica,
     create_replication_client,
@@ -63,6 +64,8 @@
 _SILENCE_SECONDS = 2.5
 _RESTART_PAUSE = 0.5
 _STOP_SECONDS = 3.0
+# Short, since nodes that have restarted wait for a leader.
+_OPTIONS = ReplicaOptions(heartbeat=0.2, election_minimum=0.6, election_maximum=1.2)
 _IDENTITY_NAME = "identity"
 
 
@@ -83,9 +86,13 @@
     timers: TimerService
     seats: SeatMap
     _random: random.Random
+    _may_form: bool = attrs.field(init=False)
     _control: RelayServer | None = None
     _replica: Replica | None = None
 
+    def __attrs_post_init__(self) -> None:
+        self._may_form = self.settings.is_first_start
+
     @property
     def address(self) -> Address:
         """Where other replicas reach this process."""
@@ -147,11 +154,13 @@
 
     async def _find_own_seat(self) -> str:
         """Finds the seat in the data folder, at the first start, or by joining."""
-        settings = self.settings
         async with self._open_disk() as disk:
             names = await disk.list_files()
             own = self.seats.find_seat(str(self.address))
-            if not names and settings.is_first_start and own:
+            # Only once: an empty folder later is that of a lost seat, and an
+            # initial replica would vote a second time in its place.
+            may_form, self._may_form = self._may_form, False
+            if not names and may_form and own:
                 await format_replica(disk, DEPLOYMENT, own)
                 await self.seats.save(disk)
                 return own
@@ -281,6 +290,7 @@
                 timers=self.timers,
                 source=self._random,
                 find_address=find_text,
+                options=_OPTIONS,
             )
             offers.append(SeatOffers(self.seats, replica))
 
@@ -338,6 +348,7 @@
             reply = await self._ask(address)
             if reply is None:
                 continue
+            self.seats.update(reply.seats)
             holder = reply.seats.get(seat, "")
             is_newer = reply.index >= max(core.identity.admitted_index, 1)
             if core.identity.is_admitted:
--- a/src/coltsfootspar/fleet/tests/test_cluster.py
+++ b/src/coltsfootspar/fleet/tests/test_cluster.py
@@ -239,6 +239,44 @@
     assert await cluster.read() == 1
 
 
+async def test_lost_seat_is_not_formed_again(cluster):
+    """Guards against a host that forms a new cluster when its seat was taken.
+
+    It came back as an initial replica, with a vote, since its settings still said
+    that the deployment starts for the first time.
+    """
+    await form(cluster, 4)
+    await cluster.kill(1)
+    await cluster.wait_admitted(4)
+    await cluster.start(1, is_first=True)
+    await cluster.wait_admitted(1)
+    with trio.fail_after(PATIENCE_SECONDS):
+        process = cluster.processes[1]
+        while process._replica is not None:  # noqa: ASYNC110
+            await trio.sleep(0.1)
+    await trio.sleep(2)
+    assert process._replica is None
+
+
+async def test_routes_are_served_before_there_is_a_leader(cluster):
+    """Guards against nodes without routes until the replicas have elected."""
+    await form(cluster, 3)
+    with trio.fail_after(PATIENCE_SECONDS):
+        cache = cluster.processes[1]._replica._route_cache
+        while cache.routes.table.version == 0:  # noqa: ASYNC110
+            await trio.sleep(0.05)
+    for number in (1, 2, 3):
+        await cluster.kill(number)
+    await cluster.start(1)
+    await cluster.wait_admitted(1)
+
+    async def watch(client):
+        return (await anext(client.watch_routes())).version
+
+    with trio.fail_after(PATIENCE_SECONDS):
+        assert await cluster._use_client(watch) == 1
+
+
 async def test_all_restart_with_other_seeds(cluster):
     """Guards against a cluster that forgets where its members are."""
     await form(cluster, 3)
--- a/src/coltsfootspar/relay/client.py
+++ b/src/coltsfootspar/relay/client.py
@@ -19,7 +19,8 @@
 
 __all__ = ["ClientConnection", "ConnectionPool", "OutgoingRequest", "StreamedBody"]
 
-CONNECT_SECONDS = 0.5
+# Several times the round trip between data centres.
+CONNECT_SECONDS = 0.25
 IDLE_SECONDS = 8.0
 # Share of the announced idle time for which a connection is used again.
 _IDLE_SHARE = 0.6
@@ -98,9 +99,17 @@
             await send_all(self.sock, request.data)
             return await self._read_response(request, buffer)
         # The server may answer before it has read the body.
+        response, failure = None, None
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._send_body, request)
-            return await self._read_response(request, buffer)
+            try:
+                response = await self._read_response(request, buffer)
+            except TransferError as error:
+                failure = error
+                nursery.cancel_scope.cancel()
+        if failure is not None:
+            raise failure
+        return response
 
     async def read_body(self, response: Response) -> bytes:
         """Reads the next piece of a body; empty at its end.
--- a/src/coltsfootspar/relay/forwarding.py
+++ b/src/coltsfootspar/relay/forwarding.py
@@ -351,21 +351,27 @@
         node_id = candidate.node_id
         start = trio.current_time()
         seconds, load = None, None
-        self._placement.begin(node_id)
+        self._placement.begin(candidate)
+        # Cancelled while it waits, the call was at least this slow.
+        is_pending = True
         try:
             if node_id == self._node_id:
                 sending = self._backend.send(outgoing)
             else:
                 sending = self._send_to_peer(node_id, outgoing, trial)
             async with sending as reply:
+                is_pending = False
                 load = reply.load
-                if reply.outcome is Outcome.RAN:
+                is_silent = load is None
+                if reply.outcome is not Outcome.NOT_RUN and not is_silent:
                     seconds = trio.current_time() - start
-                if reply.error in _ABSENCE_ERRORS or reply.load is None:
-                    self._placement.pause(node_id)
+                if reply.error in _ABSENCE_ERRORS or is_silent:
+                    self._placement.pause(candidate, is_silent=is_silent)
                 yield reply
         finally:
-            self._placement.finish(node_id, seconds, load)
+            if is_pending and seconds is None:
+                seconds = trio.current_time() - start
+            self._placement.finish(candidate, seconds, load)
 
     @contextlib.asynccontextmanager
     async def _send_to_peer(
--- a/src/coltsfootspar/relay/placement.py
+++ b/src/coltsfootspar/relay/placement.py
@@ -24,6 +24,13 @@
 LONGEST_PAUSE_SECONDS = 4.0
 # Cost of another data centre, as time of a call, seconds.
 REMOTE_SECONDS = 0.03
+# A node of the own data centre that is slower than another by this factor gets no
+# preference.
+SLOW_FACTOR = 2.5
+# A data centre of which this many nodes failed in a row, with none that answered
+# in between, is put aside as a whole: it may be cut off.
+FAILED_NODES = 2
+CENTRE_PAUSE_SECONDS = 0.6
 _LATENCY_WEIGHT = 0.1
 _INITIAL_LATENCY = 0.05
 
@@ -52,6 +59,8 @@
     _data_centre: str
     _random: random.Random
     _records: dict[str, _Record] = attrs.field(factory=dict)
+    _failed: dict[str, set[str]] = attrs.field(factory=dict)
+    _centres_paused: dict[str, float] = attrs.field(factory=dict)
 
     def choose(
         self, candidates: Sequence[Candidate], tried: set[str]
@@ -69,40 +78,55 @@
         ]
         if not free:
             return None
-        active = [c for c in free if self._get(c.node_id).paused_until <= now]
+        active = [c for c in free if self._get_pause(c) <= now]
         if not active:
-            return min(free, key=lambda c: self._get(c.node_id).paused_until)
+            return min(free, key=self._get_pause)
         local = [c for c in active if c.data_centre == self._data_centre]
         if local:
             best = self._pick(local, now)
-            if self._compute_load(best, now) < LOCAL_LOAD or len(local) == len(active):
+            if len(local) == len(active) or self._is_preferred(best, active, now):
                 return best
         return self._pick(active, now)
 
-    def begin(self, node_id: str) -> None:
+    def begin(self, candidate: Candidate) -> None:
         """Notes that a call is sent to a node."""
-        self._get(node_id).outstanding += 1
+        self._get(candidate.node_id).outstanding += 1
 
-    def finish(self, node_id: str, seconds: float | None, load: Load | None) -> None:
+    def finish(
+        self, candidate: Candidate, seconds: float | None, load: Load | None
+    ) -> None:
         """Notes the end of a call.
 
-        :param seconds: time to the answer of the backend server; None without one.
+        :param seconds: time to the answer of the backend server, or to the end of
+            a call that it did not answer in time; None when it had no part in it.
         :param load: load that the reply reported.
         """
-        record = self._get(node_id)
+        record = self._get(candidate.node_id)
         record.outstanding -= 1
         if seconds is not None:
             record.latency += (seconds - record.latency) * _LATENCY_WEIGHT
         if load is not None:
             record.load, record.load_at = load, trio.current_time()
             record.failures = 0
+            self._failed.pop(candidate.data_centre, None)
+            self._centres_paused.pop(candidate.data_centre, None)
+
+    def pause(self, candidate: Candidate, *, is_silent: bool) -> None:
+        """Puts a node aside that has failed, longer after each failure in a row.
 
-    def pause(self, node_id: str) -> None:
-        """Puts a node aside that has failed, longer after each failure in a row."""
-        record = self._get(node_id)
+        :param is_silent: true when the node itself did not answer.
+        """
+        now = trio.current_time()
+        record = self._get(candidate.node_id)
         pause = FIRST_PAUSE_SECONDS * 2**record.failures
         record.failures += 1
-        record.paused_until = trio.current_time() + min(pause, LONGEST_PAUSE_SECONDS)
+        record.paused_until = now + min(pause, LONGEST_PAUSE_SECONDS)
+        centre = candidate.data_centre
+        if is_silent and centre != self._data_centre:
+            failed = self._failed.setdefault(centre, set())
+            failed.add(candidate.node_id)
+            if len(failed) >= FAILED_NODES:
+                self._centres_paused[centre] = now + CENTRE_PAUSE_SECONDS
 
     def forget(self, present: set[str]) -> None:
         """Drops what is known of nodes that are gone."""
@@ -111,6 +135,20 @@
             if node_id not in present and record.outstanding == 0:
                 del self._records[node_id]
 
+    def _get_pause(self, candidate: Candidate) -> float:
+        own = self._get(candidate.node_id).paused_until
+        return max(own, self._centres_paused.get(candidate.data_centre, own))
+
+    def _is_preferred(
+        self, local: Candidate, active: list[Candidate], now: float
+    ) -> bool:
+        """Tells whether a node of the own data centre has room and is not slow."""
+        if self._compute_load(local, now) >= LOCAL_LOAD:
+            return False
+        latency = self._get(local.node_id).latency
+        best = min(self._get(c.node_id).latency for c in active)
+        return latency <= SLOW_FACTOR * (best + REMOTE_SECONDS)
+
     def _get(self, node_id: str) -> _Record:
         record = self._records.get(node_id)
         if record is None:
--- a/src/coltsfootspar/relay/tests/test_decisions.py
+++ b/src/coltsfootspar/relay/tests/test_decisions.py
@@ -123,8 +123,8 @@
     """Guards against a queue at home while others are idle."""
     placement = create_placement("a", random.Random(1))
     candidates = list_candidates("a", "b", "b")
-    placement.begin("n0")
-    placement.finish("n0", 0.1, Load(10, 10, 5))
+    placement.begin(candidates[0])
+    placement.finish(candidates[0], 0.1, Load(10, 10, 5))
     chosen = {placement.choose(candidates, set()).node_id for _ in range(20)}
     assert "n1" in chosen or "n2" in chosen
 
@@ -133,12 +133,35 @@
     """Guards against calls that go on to a dead host, and one never used again."""
     placement = create_placement("a", random.Random(1))
     candidates = list_candidates("a", "b")
-    placement.pause("n0")
+    placement.pause(candidates[0], is_silent=True)
     assert placement.choose(candidates, set()).node_id == "n1"
     await trio.sleep(0.5)
     assert placement.choose(candidates, set()).node_id == "n0"
 
 
+async def test_slow_server_loses_its_preference(autojump_clock):
+    """Guards against calls that time out at a slow server while others are fast."""
+    placement = create_placement("a", random.Random(1))
+    candidates = list_candidates("a", "b", "b")
+    for _ in range(30):
+        placement.begin(candidates[0])
+        placement.finish(candidates[0], 1.5, Load(1, 10, 0))
+    chosen = {placement.choose(candidates, set()).node_id for _ in range(20)}
+    assert chosen <= {"n1", "n2"}
+
+
+async def test_cut_data_centre_is_put_aside_as_a_whole(autojump_clock):
+    """Guards against a wait for each host of a data centre that is cut off."""
+    placement = create_placement("a", random.Random(1))
+    candidates = list_candidates("b", "b", "b", "c")
+    for candidate in candidates[:2]:
+        placement.pause(candidate, is_silent=True)
+    assert placement.choose(candidates, set()).node_id == "n3"
+    await trio.sleep(5)
+    chosen = {placement.choose(candidates, set()).node_id for _ in range(40)}
+    assert chosen == {"n0", "n1", "n2", "n3"}
+
+
 async def test_budget_is_a_share_of_the_requests(autojump_clock):
     """Guards against retries that keep an overloaded service overloaded."""
     budget = create_repeat_budget(0.2, 10.0, 10.0)
--- a/src/coltsfootspar/relay/tests/test_path.py
+++ b/src/coltsfootspar/relay/tests/test_path.py
@@ -294,3 +294,17 @@
     answer = await ask(entry, encode_post(b"x" * 3_000_000))
     assert answer.startswith(b"HTTP/1.1 200")
     assert received == [3_000_000]
+
+
+async def test_reset_during_long_body_is_answered(bed):
+    """Guards against a caller without an answer when the server resets a body."""
+
+    async def reset(stream, head):
+        return False
+
+    server = await bed.add_server(reset)
+    await bed.add_node("n1", server.address)
+    set_once(bed)
+    _, _, entry = await bed.add_entry()
+    answer = await ask(entry, encode_post(b"x" * 400_000))
+    assert answer.startswith(b"HTTP/1.1 502")
--- a/src/coltsfootspar/replication/replica.py
+++ b/src/coltsfootspar/replication/replica.py
@@ -46,6 +46,8 @@
     ReplicaStatus,
     TableReply,
 )
+from coltsfootspar.replication.routecache import RouteCache, load_route_cache
+from coltsfootspar.replication.routestate import RouteState
 from coltsfootspar.replication.snapshots import create_snapshot_store
 from coltsfootspar.table import Table
 from coltsfootspar.timers import TimerService
@@ -63,6 +65,7 @@
 
     _core: ReplicaCore
     _timers: TimerService
+    _route_cache: RouteCache
     _table_cache: tuple[int, bytes] = (-1, b"")
 
     @property
@@ -83,6 +86,7 @@
                 nursery.start_soon(self._write_log)
                 nursery.start_soon(self._play_roles)
                 nursery.start_soon(self._take_snapshots)
+                nursery.start_soon(self._save_routes)
                 await core.failed.wait()
                 nursery.cancel_scope.cancel()
         finally:
@@ -170,6 +174,16 @@
         except* ColtsfootsparError as group:
             core.fail(_get_first_error(group))
 
+    async def _save_routes(self) -> None:
+        core = self._core
+        try:
+            while True:
+                changed = core.table_changed
+                await self._route_cache.save(core.state.routes)
+                await changed.wait()
+        except StorageError as error:
+            core.fail(error)
+
     async def _take_snapshots(self) -> None:
         core = self._core
         try:
@@ -233,13 +247,17 @@
         reply = TableReply(table.version, self._core.is_current, data)
         return codec.encode_table_reply(reply)
 
+    @property
+    def _routes(self) -> RouteState:
+        return self._route_cache.choose(self._core.state.routes)
+
     async def _serve_watch_routes(self, message: Message) -> Message:
         after_version, wait_ms = codec.decode_table_request(message)
         core = self._core
         with trio.move_on_after(min(wait_ms / 1e3, _MAX_WAIT_SECONDS)):
-            while core.state.routes.table.version <= after_version and core.is_current:
+            while self._routes.table.version <= after_version and core.is_current:
                 await core.table_changed.wait()
-        routes = core.state.routes
+        routes = self._routes
         version = routes.table.version
         data = routes.data if version > after_version else b""
         reply = TableReply(version, core.is_current, data)
@@ -343,4 +361,4 @@
     log.on_synced = lambda: core.leader_term and core.leader_term.advance()
     if identity.is_admitted:
         core.admitted.set()
-    return Replica(core, timers)
+    return Replica(core, timers, await load_route_cache(disk))
