Serve new connections until callers are no longer sent to a stopping node

It now serves them, refuses calls of other nodes after 0.8 s, and ends when its calls and then its requests are done.

--- a/src/coltsfootspar/fleet/node.py
+++ b/src/coltsfootspar/fleet/node.py
@@ -43,6 +43,8 @@
 __all__ = ["run_fleet_node"]
 
 _SWEEP_PERIOD = 1.0
+# Time in which other nodes learn that this one leaves.
+_NOTICE_SECONDS = 0.8
 # After SIGTERM callers are still sent here until the host has asked twice in vain.
 _TAKEN_OUT_SECONDS = 2.3
 # Part of the grace time in which the requests in progress may end.
@@ -97,6 +99,7 @@
     forwarder: Forwarder
     outbound: RelayServer
     inbound: RelayServer
+    receiver: CallReceiver
     control: RelayServer
     ready: RelayServer
     metrics: RelayServer
@@ -141,10 +144,12 @@
         self.inbound.is_draining = True
         finish = self.settings.bounds.grace_seconds * _FINISH_SHARE
         with trio.move_on_after(finish):
-            await trio.sleep(_TAKEN_OUT_SECONDS)
-            self.outbound.close_idle()
-            await self.outbound.drain()
+            await trio.sleep(_NOTICE_SECONDS)
+            self.receiver.is_leaving = True
+            await trio.sleep(_TAKEN_OUT_SECONDS - _NOTICE_SECONDS)
+            # Calls in progress make calls of their own until they end.
             await self.inbound.drain()
+            await self.outbound.drain()
             return True
         cut = len(self.outbound.exchanges) + len(self.inbound.exchanges)
         logging.warning("Stopped with %d requests in progress", cut)
@@ -225,6 +230,7 @@
     )
     page = create_fleet_metrics()
     forwarder.counters.observe_seconds = page.observe_seconds
+    receiver = CallReceiver(backend, dialect.names)
     control = create_control_handler(
         dialect, NodeControl(backend, settings.service).serve
     )
@@ -238,7 +244,8 @@
         backend=backend,
         forwarder=forwarder,
         outbound=create_relay_server(forwarder.handle),
-        inbound=create_relay_server(CallReceiver(backend, dialect.names).handle),
+        inbound=create_relay_server(receiver.handle),
+        receiver=receiver,
         control=create_relay_server(control.handle),
         ready=create_relay_server(lambda exchange: node.answer_ready(exchange)),
         metrics=create_relay_server(create_metrics_handler(page.render)),
--- a/src/coltsfootspar/relay/forwarding.py
+++ b/src/coltsfootspar/relay/forwarding.py
@@ -109,10 +109,14 @@
 
 @attrs.define(eq=False)
 class CallReceiver:
-    """Serves the calls of other nodes with the own backend server."""
+    """Serves the calls of other nodes with the own backend server.
+
+    :param is_leaving: true when new calls are sent to other nodes.
+    """
 
     _backend: BackendServer
     _names: HeaderNames
+    is_leaving: bool = False
 
     async def handle(self, exchange: Exchange) -> None:
         """Answers a call of another node."""
@@ -125,14 +129,20 @@
             log_decision("call-malformed", error=str(error))
             await exchange.answer(400, [], b"")
             return
+        if self.is_leaving:
+            await self._answer(exchange, create_refusal("leaving"))
+            return
         outgoing = await create_outgoing(exchange, call, self._names)
         async with self._backend.send(outgoing) as reply:
-            headers = [*reply.headers, (OUTCOME_HEADER, reply.outcome.encode())]
-            if reply.error:
-                headers.append((ERROR_HEADER, reply.error.encode()))
-            if reply.load is not None:
-                headers.append((LOAD_HEADER, encode_load(reply.load)))
-            await deliver(exchange, reply, headers)
+            await self._answer(exchange, reply)
+
+    async def _answer(self, exchange: Exchange, reply: Reply) -> None:
+        headers = [*reply.headers, (OUTCOME_HEADER, reply.outcome.encode())]
+        if reply.error:
+            headers.append((ERROR_HEADER, reply.error.encode()))
+        if reply.load is not None:
+            headers.append((LOAD_HEADER, encode_load(reply.load)))
+        await deliver(exchange, reply, headers)
 
 
 async def create_outgoing(
--- a/src/coltsfootspar/relay/server.py
+++ b/src/coltsfootspar/relay/server.py
@@ -176,7 +176,7 @@
         limits = self.server.limits
         messages = self.reader.messages
         self.is_idle = not messages
-        if self.is_idle and self.server.is_draining:
+        if self.is_idle and self.server.is_closing:
             return None
         try:
             with trio.move_on_after(limits.idle_seconds):
@@ -259,12 +259,16 @@
 
     :param limits: what clients may send.
     :param exchanges: requests without a complete answer.
+    :param is_draining: true when each answer is the last one of its connection;
+        new connections are still served.
+    :param is_closing: true when no request is read any more.
     """
 
     handler: Handler
     limits: ClientLimits = attrs.field(factory=ClientLimits)
     exchanges: set[Exchange] = attrs.field(factory=set)
     is_draining: bool = False
+    is_closing: bool = False
     _connections: set[_Connection] = attrs.field(factory=set)
 
     async def serve(
@@ -292,8 +296,9 @@
                     nursery.start_soon(self._run_connection, sock)
 
     async def drain(self) -> None:
-        """Closes idle connections and waits for the requests in progress."""
-        self.is_draining = True
+        """Reads no more requests and waits for those in progress."""
+        self.is_draining = self.is_closing = True
+        self.close_idle()
         # Exchanges are many and short, and have no event for the last one.
         while self.exchanges:  # noqa: ASYNC110
             await trio.sleep(LEFT_CHECK_SECONDS / 2)
