--- a/src/coltsfootspar/fleet/control.py
+++ b/src/coltsfootspar/fleet/control.py
@@ -13,10 +13,10 @@
     RouteChange,
     RouteQuery,
 )
+from coltsfootspar.logs import log_decision
 from coltsfootspar.relay import BackendReport, BackendServer, Exchange
 from coltsfootspar.replication import ChangeStatus, ReplaceRoutes, ReplicationClient
 from coltsfootspar.routes import check_routes, encode_routes
-from coltsfootspar.telemetry.decisions import log_decision
 
 __all__ = ["ControlHandler", "NodeControl", "ReplicaControl", "create_control_handler"]
 
--- a/src/coltsfootspar/fleet/routecopy.py
+++ b/src/coltsfootspar/fleet/routecopy.py
@@ -2,9 +2,9 @@
 
 import attrs
 
+from coltsfootspar.logs import log_decision
 from coltsfootspar.replication import ReplicationClient
 from coltsfootspar.routes import RouteMatcher, RouteTable, create_route_matcher
-from coltsfootspar.telemetry.decisions import log_decision
 
 __all__ = ["RouteCopy", "create_route_copy"]
 
--- a/src/coltsfootspar/fleet/seats.py
+++ b/src/coltsfootspar/fleet/seats.py
@@ -12,10 +12,10 @@
 import attrs
 import trio
 
+from coltsfootspar.logs import log_decision
 from coltsfootspar.replication import Disk, Replica, Role
 from coltsfootspar.replication.identity import load_document, save_document
 from coltsfootspar.replication.messages import JoinReply, JoinRequest
-from coltsfootspar.telemetry.decisions import log_decision
 from coltsfootspar.wire import Address, parse_address
 
 __all__ = ["SEAT_SERVICE", "SeatMap", "SeatOffers", "create_seat_map", "name_seats"]
--- a/src/coltsfootspar/relay/backend.py
+++ b/src/coltsfootspar/relay/backend.py
@@ -8,6 +8,7 @@
 
 from coltsfootspar.calls import Outcome
 from coltsfootspar.exceptions import RefusedError, TransferError
+from coltsfootspar.logs import log_decision
 from coltsfootspar.relay.calls import (
     HOP_HEADERS,
     HeaderNames,
@@ -28,7 +29,6 @@
     encode_request,
     filter_headers,
 )
-from coltsfootspar.telemetry.decisions import log_decision
 from coltsfootspar.wire import Address
 
 __all__ = ["BackendReport", "BackendServer", "create_backend_server"]
--- a/src/coltsfootspar/relay/forwarding.py
+++ b/src/coltsfootspar/relay/forwarding.py
@@ -14,6 +14,7 @@
     TooLargeError,
     TransferError,
 )
+from coltsfootspar.logs import log_decision
 from coltsfootspar.relay.backend import BUFFER_BYTES, BackendServer
 from coltsfootspar.relay.calls import (
     CALL_HEADER,
@@ -46,7 +47,6 @@
 from coltsfootspar.relay.shares import ShareKeeper
 from coltsfootspar.routes import Route, RouteMatcher
 from coltsfootspar.routing import Candidate
-from coltsfootspar.telemetry.decisions import log_decision
 from coltsfootspar.wire import Address
 
 __all__ = ["CallReceiver", "Forwarder", "NodeDirectory", "RelayCounters"]
--- a/src/coltsfootspar/telemetry/__init__.py
+++ b/src/coltsfootspar/telemetry/__init__.py
@@ -1,7 +1,7 @@
 """Logs, metrics and traces."""
 
+from coltsfootspar.logs import set_up_logs
 from coltsfootspar.telemetry.interfaces import Span, Tracer
-from coltsfootspar.telemetry.logs import set_up_logs
 from coltsfootspar.telemetry.metrics import NodeMetrics, create_node_metrics
 from coltsfootspar.telemetry.traces import (
     SpanRecord,
--- a/src/coltsfootspar/telemetry/tests/test_telemetry.py
+++ b/src/coltsfootspar/telemetry/tests/test_telemetry.py
@@ -6,13 +6,13 @@
 
 import pytest
 
+from coltsfootspar.logs import JsonFormatter
 from coltsfootspar.telemetry import (
     create_node_metrics,
     create_tracer,
     format_traceparent,
     parse_traceparent,
 )
-from coltsfootspar.telemetry.logs import JsonFormatter
 
 TRACE_ID = "4bf92f3577b34da6a3ce929d0e0e4736"
 
