--- a/src/coltsfootspar/fleet/node.py
+++ b/src/coltsfootspar/fleet/node.py
@@ -129,7 +129,14 @@
             is_clean = await self._stop()
             await self.membership.depart()
             nursery.cancel_scope.cancel()
-        logging.info("Node %s has stopped, clean: %s", settings.id, is_clean)
+        counters = self.forwarder.counters
+        logging.info(
+            "Node %s has stopped, clean: %s, served: %d, begun calls: %d",
+            settings.id,
+            is_clean,
+            counters.served,
+            counters.begun,
+        )
         return 0 if is_clean else 3
 
     async def answer_ready(self, exchange: Exchange) -> None:
@@ -217,6 +224,7 @@
     bounds = settings.bounds
     forwarder = Forwarder(
         settings.id,
+        settings.host,
         settings.service,
         routes,
         directory,
@@ -269,6 +277,9 @@
     page.add_counter(
         f"{prefix}repeats_total", "Repeated sends.", lambda: counters.repeats
     )
+    page.add_counter(
+        f"{prefix}begun_total", "Calls of begun requests.", lambda: counters.begun
+    )
     page.add_gauge(f"{prefix}slots_in_use", "Slots in use.", lambda: gate.in_use)
     page.add_gauge(f"{prefix}slots", "Slots of the server.", lambda: gate.limit)
     page.add_gauge(
--- a/src/coltsfootspar/relay/client.py
+++ b/src/coltsfootspar/relay/client.py
@@ -14,7 +14,13 @@
     ResponseReader,
     encode_chunk,
 )
-from coltsfootspar.relay.sockets import connect, has_input, receive, send_all
+from coltsfootspar.relay.sockets import (
+    connect,
+    has_input,
+    limit_silence,
+    receive,
+    send_all,
+)
 from coltsfootspar.wire import Address
 
 __all__ = ["ClientConnection", "ConnectionPool", "OutgoingRequest", "StreamedBody"]
@@ -98,6 +104,7 @@
         if request.stream is None and len(request.data) <= _INLINE_BODY_BYTES:
             await send_all(self.sock, request.data)
             return await self._read_response(request, buffer)
+        limit_silence(self.sock, reads_slowly=True)
         # The server may answer before it has read the body.
         response, failure = None, None
         async with trio.open_nursery() as nursery:
@@ -109,6 +116,7 @@
                 nursery.cancel_scope.cancel()
         if failure is not None:
             raise failure
+        limit_silence(self.sock, reads_slowly=False)
         return response
 
     async def read_body(self, response: Response) -> bytes:
--- a/src/coltsfootspar/relay/forwarding.py
+++ b/src/coltsfootspar/relay/forwarding.py
@@ -36,7 +36,6 @@
 from coltsfootspar.relay.client import ConnectionPool, OutgoingRequest, StreamedBody
 from coltsfootspar.relay.messages import (
     Headers,
-    Request,
     Response,
     encode_request,
     filter_headers,
@@ -96,6 +95,7 @@
     :param served: requests of callers that got an answer of a backend server.
     :param refused: requests that were refused and have not run.
     :param failed: requests that failed for another reason.
+    :param begun: calls of requests that the own backend server has begun.
     :param repeats: calls that were sent to a second backend server.
     :param seconds: time to the answer of served requests, seconds.
     """
@@ -103,6 +103,7 @@
     served: int = 0
     refused: int = 0
     failed: int = 0
+    begun: int = 0
     repeats: int = 0
     observe_seconds: Callable[[float], None] = lambda seconds: None
 
@@ -215,6 +216,7 @@
     """Sends requests of callers on the own host to backend servers."""
 
     _node_id: str
+    _host: str
     _service: str
     _routes: RouteView
     _directory: NodeDirectory
@@ -239,7 +241,7 @@
             log_decision("no-route", host=host, path=path, version=self._routes.version)
             await exchange.answer(404, [], b"")
             return
-        call = self._create_call(request, route)
+        call = self._create_call(exchange, route)
         try:
             outgoing = await create_outgoing(exchange, call, self._names)
         except TooLargeError:
@@ -260,7 +262,12 @@
         self._placement.forget(present)
         self._budget.nodes = len(present)
 
-    def _create_call(self, request: Request, route: Route) -> Call:
+    def _create_call(self, exchange: Exchange, route: Route) -> Call:
+        request = exchange.request
+        # Callers come from other hosts; the own host's calls are those of requests
+        # that the backend server has begun.
+        is_begun = exchange.caller_host == self._host
+        self.counters.begun += is_begun
         left = parse_milliseconds(request.find(self._names.deadline_ms.lower()))
         seconds = min(route.timeout, left or _DEFAULT_DEADLINE_SECONDS)
         return Call(
@@ -268,7 +275,7 @@
             deadline=request.arrived + seconds,
             rank=route.rank,
             is_idempotent=route.is_idempotent,
-            importance=Importance.NEW,
+            importance=Importance.STARTED if is_begun else Importance.NEW,
             target_latency=route.target_latency,
             caller=self._service,
         )
--- a/src/coltsfootspar/relay/server.py
+++ b/src/coltsfootspar/relay/server.py
@@ -23,6 +23,7 @@
 )
 from coltsfootspar.relay.sockets import (
     accept,
+    get_peer_host,
     is_closed_by_peer,
     listen,
     receive,
@@ -53,6 +54,11 @@
     scope: trio.CancelScope = attrs.field(factory=trio.CancelScope)
     has_answered: bool = False
 
+    @property
+    def caller_host(self) -> str:
+        """IP address of the caller."""
+        return self._connection.caller_host
+
     async def buffer_body(self, limit: int) -> None:
         """Reads the body until it is complete or longer than a limit.
 
@@ -138,6 +144,7 @@
 
     server: "RelayServer"
     sock: socket.socket
+    caller_host: str = ""
     reader: RequestReader = attrs.field(factory=RequestReader)
     is_last: bool = False
     is_broken: bool = False
@@ -313,6 +320,7 @@
         connection = _Connection(self, sock)
         self._connections.add(connection)
         try:
+            connection.caller_host = get_peer_host(sock)
             await connection.run()
         except (TransferError, MalformedRequestError, TooLargeError) as error:
             logging.debug("Connection ended: %s", error)
--- a/src/coltsfootspar/relay/sockets.py
+++ b/src/coltsfootspar/relay/sockets.py
@@ -12,7 +12,17 @@
 from coltsfootspar.exceptions import TransferError
 from coltsfootspar.wire import Address
 
-__all__ = ["connect", "is_closed_by_peer", "listen", "receive", "send_all"]
+__all__ = [
+    "accept",
+    "connect",
+    "get_peer_host",
+    "has_input",
+    "is_closed_by_peer",
+    "limit_silence",
+    "listen",
+    "receive",
+    "send_all",
+]
 
 # A connection whose peer confirms nothing for this time is closed. Open
 # connections may go silent for good while new ones work.
@@ -27,13 +37,22 @@
 def _set_options(sock: socket.socket) -> None:
     sock.setblocking(False)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNCONFIRMED_MS)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_IDLE_SECONDS)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_INTERVAL_SECONDS)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, PROBES)
 
 
+def limit_silence(sock: socket.socket, *, reads_slowly: bool) -> None:
+    """Sets whether unconfirmed bytes end the connection soon.
+
+    :param reads_slowly: true when the peer may leave long bodies unread for a
+        while, which looks the same.
+    """
+    limit = 0 if reads_slowly else UNCONFIRMED_MS
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, limit)
+
+
 async def connect(address: Address, timeout: float) -> socket.socket:
     """Opens a connection.
 
@@ -43,6 +62,7 @@
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     try:
         _set_options(sock)
+        limit_silence(sock, reads_slowly=False)
         code = sock.connect_ex((address.host, address.port))
         if code == errno.EINPROGRESS:
             with trio.move_on_after(timeout):
@@ -111,6 +131,17 @@
             raise TransferError(str(error), may_have_run=True, code="reset") from error
 
 
+def get_peer_host(sock: socket.socket) -> str:
+    """Returns the IP address of the peer.
+
+    :raises TransferError: when the connection has ended.
+    """
+    try:
+        return sock.getpeername()[0]
+    except OSError as error:
+        raise TransferError(str(error), may_have_run=False, code="reset") from error
+
+
 def is_closed_by_peer(sock: socket.socket) -> bool:
     """Tells whether the peer has closed or reset the connection."""
     try:
--- a/src/coltsfootspar/relay/tests/conftest.py
+++ b/src/coltsfootspar/relay/tests/conftest.py
@@ -130,6 +130,7 @@
     """Parts on loopback, started in one nursery."""
 
     nursery: trio.Nursery
+    own_host: str = "127.0.0.99"
     directory: FakeDirectory = attrs.field(factory=FakeDirectory)
     routes: FakeRoutes = attrs.field(
         factory=lambda: FakeRoutes(
@@ -157,6 +158,7 @@
         """Starts the outbound side of a node without a backend server."""
         forwarder = Forwarder(
             "entry",
+            self.own_host,
             "diaries",
             self.routes,
             self.directory,
--- a/src/coltsfootspar/relay/tests/test_path.py
+++ b/src/coltsfootspar/relay/tests/test_path.py
@@ -3,6 +3,7 @@
 import attrs
 import trio
 
+from coltsfootspar.relay import Importance
 from coltsfootspar.routes import Repetition, RouteTable, Service
 from coltsfootspar.wire import Address
 
@@ -308,3 +309,49 @@
     _, _, entry = await bed.add_entry()
     answer = await ask(entry, encode_post(b"x" * 400_000))
     assert answer.startswith(b"HTTP/1.1 502")
+
+
+async def test_calls_of_begun_requests_go_first(bed, monkeypatch):
+    """Guards against work that is thrown away since a call below it is refused."""
+    server = await bed.add_server(answer_ok)
+    backend = await bed.add_node("n1", server.address)
+    seen = []
+    acquire = type(backend.gate).acquire
+
+    async def note(gate, call):
+        seen.append(call.importance)
+        await acquire(gate, call)
+
+    monkeypatch.setattr(type(backend.gate), "acquire", note)
+    for bed.own_host in ("127.0.0.99", HOST):
+        _, _, entry = await bed.add_entry()
+        assert (await ask(entry, encode_get())).startswith(b"HTTP/1.1 200")
+    assert seen == [Importance.NEW, Importance.STARTED]
+
+
+async def test_slow_reader_gets_its_answer(bed):
+    """Guards against callers and servers that read slowly and are cut off."""
+    body = b"y" * 3_000_000
+
+    async def slow(stream, head):
+        await trio.sleep(2)
+        total = len(server.rest)
+        while total < 3_000_000:
+            total += len(await stream.receive_some())
+        await stream.send_all(
+            b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
+        )
+
+    server = await bed.add_server(slow)
+    await bed.add_node("n1", server.address)
+    route = create_route(repetition=Repetition.ONCE, timeout=30.0)
+    bed.routes.table = RouteTable(1, 0, (route,), (Service("wallet", 9),))
+    _, _, entry = await bed.add_entry()
+    async with await trio.open_tcp_stream(entry.host, entry.port) as stream:
+        await stream.send_all(encode_post(b"x" * 3_000_000))
+        await trio.sleep(4)
+        received = 0
+        with trio.fail_after(20):
+            while chunk := await stream.receive_some():
+                received += len(chunk)
+    assert received > len(body)
