Count routes as saved only once they are on the disk

Cause: test_routes_are_served_before_there_is_a_leader failed in 2 of 6 runs beside load: the cache said that the routes were saved before the file was written, and the host was stopped in between.

--- a/src/coltsfootspar/replication/routecache.py
+++ b/src/coltsfootspar/replication/routecache.py
@@ -38,9 +38,9 @@
         """
         if applied.table.version <= self.routes.table.version:
             return
-        self.routes = RouteState(applied.table, applied.data)
-        text = applied.data.decode()
-        await save_document(self._disk, _FILE_NAME, {"data": text})
+        saved = RouteState(applied.table, applied.data)
+        await save_document(self._disk, _FILE_NAME, {"data": saved.data.decode()})
+        self.routes = saved
 
 
 async def load_route_cache(disk: Disk) -> RouteCache:
