Split the relay: outgoing requests and calls of other nodes have modules of their own

The framing of a request stood twice, in the forwarder and at the backend server; both use relay/outgoing.py. Removes a setting that nothing read.

--- a/src/coltsfootspar/fleet/node.py
+++ b/src/coltsfootspar/fleet/node.py
@@ -54,10 +54,7 @@
 
 @attrs.define(eq=False)
 class FleetDirectory:
-    """Nodes and replicas as the membership knows them.
-
-    :param peer_port: internal port of all processes, for replicas at the seeds.
-    """
+    """Nodes and replicas as the membership knows them."""
 
     _settings: FleetNodeSettings
     _membership: Membership
@@ -282,6 +279,11 @@
     )
     page.add_gauge(f"{prefix}slots_in_use", "Slots in use.", lambda: gate.in_use)
     page.add_gauge(f"{prefix}slots", "Slots of the server.", lambda: gate.limit)
+    page.add_counter(
+        f"{prefix}connections_opened_total",
+        "Connections opened to the backend server.",
+        lambda: node.backend.connections_opened,
+    )
     page.add_gauge(
         f"{prefix}waiting", "Calls that wait for a slot.", lambda: gate.load.waiting
     )
--- a/src/coltsfootspar/relay/__init__.py
+++ b/src/coltsfootspar/relay/__init__.py
@@ -6,9 +6,10 @@
     create_backend_server,
 )
 from coltsfootspar.relay.calls import Call, HeaderNames, Importance, Load, Reply
-from coltsfootspar.relay.forwarding import CallReceiver, Forwarder, RelayCounters
+from coltsfootspar.relay.forwarding import Forwarder, RelayCounters
 from coltsfootspar.relay.gate import SlotGate, create_slot_gate
 from coltsfootspar.relay.placement import Placement, create_placement
+from coltsfootspar.relay.receiving import CallReceiver
 from coltsfootspar.relay.repeats import RepeatBudget, create_repeat_budget
 from coltsfootspar.relay.server import Exchange, RelayServer, create_relay_server
 from coltsfootspar.relay.shares import ShareKeeper
--- a/src/coltsfootspar/relay/backend.py
+++ b/src/coltsfootspar/relay/backend.py
@@ -21,15 +21,14 @@
     IDLE_SECONDS,
     ClientConnection,
     ConnectionPool,
-    OutgoingRequest,
 )
 from coltsfootspar.relay.gate import SlotGate, create_slot_gate
 from coltsfootspar.relay.messages import (
     Headers,
     Response,
-    encode_request,
     filter_headers,
 )
+from coltsfootspar.relay.outgoing import encode_outgoing
 from coltsfootspar.wire import Address
 
 __all__ = ["BackendReport", "BackendServer", "create_backend_server"]
@@ -257,33 +256,19 @@
     async def _exchange(
         self, outgoing: OutgoingCall, connection: ClientConnection
     ) -> Reply:
-        names = self._names
-        headers = self._create_headers(outgoing)
-        request = OutgoingRequest(
-            encode_request(outgoing.method, outgoing.target, headers, outgoing.body),
-            outgoing.request_id,
-            names.request_id.lower(),
-            outgoing.method == b"HEAD",
-            outgoing.stream,
-        )
+        headers = self._create_headers(outgoing.call)
+        request = encode_outgoing(outgoing, headers, self._names)
         response = await connection.exchange(request, BUFFER_BYTES)
         return self._create_reply(response, connection)
 
-    def _create_headers(self, outgoing: OutgoingCall) -> Headers:
-        names, call = self._names, outgoing.call
+    def _create_headers(self, call: Call) -> Headers:
+        names = self._names
         left = max(1, int((call.deadline - trio.current_time()) * 1e3))
-        headers = [
-            *outgoing.headers,
+        return [
             (names.deadline_ms, b"%d" % left),
             (names.instance, self.report.instance_id.encode()),
             (names.caller, call.caller.encode()),
         ]
-        stream = outgoing.stream
-        if stream is not None and stream.length is None:
-            headers.append((b"Transfer-Encoding", b"chunked"))
-        elif stream is not None:
-            headers.append((b"Content-Length", b"%d" % stream.length))
-        return headers
 
     def _create_reply(self, response: Response, connection: ClientConnection) -> Reply:
         is_not_run = (
--- a/src/coltsfootspar/relay/calls.py
+++ b/src/coltsfootspar/relay/calls.py
@@ -20,6 +20,7 @@
     "HeaderNames",
     "Importance",
     "Load",
+    "OutgoingCall",
     "Reply",
     "create_refusal",
     "decode_call_header",
--- a/src/coltsfootspar/relay/forwarding.py
+++ b/src/coltsfootspar/relay/forwarding.py
@@ -9,11 +9,7 @@
 import trio
 
 from coltsfootspar.calls import Outcome
-from coltsfootspar.exceptions import (
-    MalformedRequestError,
-    TooLargeError,
-    TransferError,
-)
+from coltsfootspar.exceptions import TooLargeError, TransferError
 from coltsfootspar.logs import log_decision
 from coltsfootspar.relay.backend import BUFFER_BYTES, BackendServer
 from coltsfootspar.relay.calls import (
@@ -28,19 +24,14 @@
     OutgoingCall,
     Reply,
     create_refusal,
-    decode_call_header,
     decode_load,
     encode_call_header,
-    encode_load,
-)
-from coltsfootspar.relay.client import ConnectionPool, OutgoingRequest, StreamedBody
-from coltsfootspar.relay.messages import (
-    Headers,
-    Response,
-    encode_request,
-    filter_headers,
 )
+from coltsfootspar.relay.client import ConnectionPool, OutgoingRequest
+from coltsfootspar.relay.messages import Response, filter_headers
+from coltsfootspar.relay.outgoing import create_outgoing, encode_outgoing
 from coltsfootspar.relay.placement import Placement
+from coltsfootspar.relay.receiving import deliver
 from coltsfootspar.relay.repeats import RepeatBudget
 from coltsfootspar.relay.server import Exchange
 from coltsfootspar.relay.shares import ShareKeeper
@@ -48,17 +39,14 @@
 from coltsfootspar.routing import Candidate
 from coltsfootspar.wire import Address
 
-__all__ = ["CallReceiver", "Forwarder", "NodeDirectory", "RelayCounters"]
+__all__ = ["Forwarder", "NodeDirectory", "RelayCounters"]
 
-# A body up to this size is held, so that it can be sent to another node.
-BODY_BYTES = 1 << 20
-# Time after the deadline in which the backend server's own answer may arrive.
-BACKEND_MARGIN = 0.05
-# The same for the answer of another node.
+# Time after the deadline in which the answer of another node may arrive.
 NODE_MARGIN = 0.1
 # Nodes that are asked before a call is refused. Only nodes that were sure that
 # the call had not run are followed by another one.
 MAX_NODES = 4
+# Sent with each refusal, seconds.
 RETRY_AFTER = b"0.5"
 _DEFAULT_DEADLINE_SECONDS = 30.0
 _SERVER_ERROR = 500
@@ -110,102 +98,6 @@
     observe_seconds: Callable[[float], None] = lambda seconds: None
 
 
-@attrs.define(eq=False)
-class CallReceiver:
-    """Serves the calls of other nodes with the own backend server.
-
-    :param is_leaving: true when new calls are sent to other nodes.
-    """
-
-    _backend: BackendServer
-    _names: HeaderNames
-    is_leaving: bool = False
-
-    async def handle(self, exchange: Exchange) -> None:
-        """Answers a call of another node."""
-        request = exchange.request
-        try:
-            call = decode_call_header(
-                request.find(CALL_HEADER.lower()), request.arrived
-            )
-        except MalformedRequestError as error:
-            log_decision("call-malformed", error=str(error))
-            await exchange.answer(400, [], b"")
-            return
-        if self.is_leaving:
-            await self._answer(exchange, create_refusal("leaving"))
-            return
-        outgoing = await create_outgoing(exchange, call, self._names)
-        late = create_refusal("backend-timeout", Outcome.MAY_HAVE_RUN, status=504)
-        exchange.set_deadline(
-            call.deadline + BACKEND_MARGIN,
-            lambda: self._answer(
-                exchange, attrs.evolve(late, load=self._backend.gate.load)
-            ),
-        )
-        async with self._backend.send(outgoing) as reply:
-            exchange.clear_deadline()
-            await self._answer(exchange, reply)
-
-    async def _answer(self, exchange: Exchange, reply: Reply) -> None:
-        headers = [*reply.headers, (OUTCOME_HEADER, reply.outcome.encode())]
-        if reply.error:
-            headers.append((ERROR_HEADER, reply.error.encode()))
-        if reply.load is not None:
-            headers.append((LOAD_HEADER, encode_load(reply.load)))
-        await deliver(exchange, reply, headers)
-
-
-async def create_outgoing(
-    exchange: Exchange, call: Call, names: HeaderNames
-) -> OutgoingCall:
-    """Prepares a request for being passed on.
-
-    A body that is not too long is read first, so that it can be sent again.
-
-    :raises TransferError: when the caller breaks off.
-    """
-    request = exchange.request
-    if not request.is_complete:
-        await exchange.buffer_body(BODY_BYTES)
-    own = (names.deadline_ms, names.instance, names.caller)
-    drop = (*HOP_HEADERS, b"expect", *(name.lower() for name in own))
-    headers = filter_headers(request, drop)
-    body, stream = None, None
-    if request.is_complete:
-        body = request.take_body() if request.has_body else None
-    else:
-        stream = StreamedBody(exchange.read_body, request.content_length)
-    return OutgoingCall(
-        call=call,
-        method=request.method,
-        target=request.target,
-        headers=headers,
-        request_id=request.find(names.request_id.lower()),
-        body=body,
-        stream=stream,
-    )
-
-
-async def deliver(exchange: Exchange, reply: Reply, headers: Headers) -> None:
-    """Sends a reply to the caller.
-
-    :raises TransferError: when either side breaks off.
-    """
-    if reply.read is None:
-        await exchange.answer(reply.status, headers, reply.body, reply.reason)
-        return
-    first = [reply.body]
-
-    async def read() -> bytes:
-        return (first.pop() if first else b"") or await reply.read()
-
-    response = Response(status=reply.status, reason=reply.reason)
-    if reply.length is not None:
-        response.index[b"content-length"] = b"%d" % reply.length
-    await exchange.pass_on(response, headers, read)
-
-
 @attrs.define(eq=False)
 class _Trial:
     """The nodes that one request was sent to.
@@ -415,7 +307,9 @@
             try:
                 connection = await stack.enter_async_context(pool.lend())
                 is_sent = True
-                request = self._encode(outgoing)
+                request = encode_outgoing(
+                    outgoing, [self._encode_call(outgoing)], self._names
+                )
                 response = await connection.exchange(request, BUFFER_BYTES)
                 reply = _create_peer_reply(response, connection.read_body)
             except TransferError as error:
@@ -431,19 +325,7 @@
 
     def _encode(self, outgoing: OutgoingCall) -> OutgoingRequest:
         call_header = encode_call_header(outgoing.call, trio.current_time())
-        headers = [*outgoing.headers, (CALL_HEADER, call_header)]
-        stream = outgoing.stream
-        if stream is not None and stream.length is None:
-            headers.append((b"Transfer-Encoding", b"chunked"))
-        elif stream is not None:
-            headers.append((b"Content-Length", b"%d" % stream.length))
-        return OutgoingRequest(
-            encode_request(outgoing.method, outgoing.target, headers, outgoing.body),
-            outgoing.request_id,
-            self._names.request_id.lower(),
-            outgoing.method == b"HEAD",
-            stream,
-        )
+        return encode_outgoing(outgoing, [(CALL_HEADER, call_header)], self._names)
 
     async def _fail(
         self,
--- a/src/coltsfootspar/settings/fleet.py
+++ b/src/coltsfootspar/settings/fleet.py
@@ -35,14 +35,12 @@
 class FleetBounds:
     """Times and budgets that the operators set for the deployment.
 
-    :param drain_seconds: a backend server that leaves gets no new work after this.
     :param grace_seconds: time from SIGTERM to the forced end of a process.
     :param repeat_ratio: repeats for each request of a service, over all nodes.
     :param repeat_extra: repeats allowed besides in each window, over all nodes.
     :param repeat_window_seconds: length of the window of both.
     """
 
-    drain_seconds: float = attrs.field(default=2.0, validator=_check_positive)
     grace_seconds: float = attrs.field(default=6.0, validator=_check_positive)
     repeat_ratio: float = 0.2
     repeat_extra: float = 40.0
