--- a/src/coltsfootspar/relay/forwarding.py
+++ b/src/coltsfootspar/relay/forwarding.py
@@ -307,9 +307,7 @@
             try:
                 connection = await stack.enter_async_context(pool.lend())
                 is_sent = True
-                request = encode_outgoing(
-                    outgoing, [self._encode_call(outgoing)], self._names
-                )
+                request = self._encode(outgoing)
                 response = await connection.exchange(request, BUFFER_BYTES)
                 reply = _create_peer_reply(response, connection.read_body)
             except TransferError as error:
--- a/src/coltsfootspar/relay/server.py
+++ b/src/coltsfootspar/relay/server.py
@@ -36,8 +36,9 @@
 
 __all__ = ["Exchange", "Handler", "RelayServer", "create_relay_server"]
 
-# How often callers that have left are looked for while their requests wait.
-LEFT_CHECK_SECONDS = 0.1
+# How often callers that have left are looked for while their requests wait. Two
+# nodes in a row have to notice within half a second; each look is a system call.
+LEFT_CHECK_SECONDS = 0.15
 _DISCARD_SECONDS = 2.0
 _DISCARD_BYTES = 64 << 20
 _CLOSE: Headers = [(b"Connection", b"close")]
