--- a/src/coltsfootspar/settings/fleet.py
+++ b/src/coltsfootspar/settings/fleet.py
@@ -1,14 +1,15 @@
 """Settings of the programs on hosts that find each other through seeds."""
 
 import pathlib
-import re
 
 import attrs
 import cattrs
 import jsonc
 
-from coltsfootspar.exceptions import SettingsError, WireError
-from coltsfootspar.wire import Address, parse_address
+from coltsfootspar.exceptions import SettingsError
+from coltsfootspar.settings.loading import structure_address
+from coltsfootspar.settings.model import KEY
+from coltsfootspar.wire import Address
 
 __all__ = [
     "FleetBounds",
@@ -18,8 +19,6 @@
     "load_fleet_replica_settings",
 ]
 
-_KEY = re.compile(r"(?:[0-9a-fA-F]{2}){16,}")
-
 
 def _check_positive(instance: object, field: attrs.Attribute, value: float) -> None:
     if not value > 0:
@@ -27,7 +26,7 @@
 
 
 def _check_key(instance: object, field: attrs.Attribute, value: str) -> None:
-    if not _KEY.fullmatch(value):
+    if not KEY.fullmatch(value):
         raise ValueError(f"{field.name}: not at least 32 hexadecimal digits")
 
 
@@ -101,15 +100,8 @@
     is_first_start: bool
 
 
-def _structure_address(value: object, _: type) -> Address:
-    try:
-        return parse_address(str(value))
-    except WireError as error:
-        raise ValueError(str(error)) from error
-
-
 _converter = cattrs.Converter(detailed_validation=True)
-_converter.register_structure_hook(Address, _structure_address)
+_converter.register_structure_hook(Address, structure_address)
 
 
 def _load(path: str, model: type) -> object:
--- a/src/coltsfootspar/settings/loading.py
+++ b/src/coltsfootspar/settings/loading.py
@@ -149,7 +149,7 @@
     ]
 
 
-def _structure_address(value: Any, _: type) -> Address:
+def structure_address(value: Any, _: type) -> Address:
     if not isinstance(value, str):
         raise TypeError(f"{value!r} is not IP:PORT")
     try:
@@ -191,7 +191,7 @@
 
 def _create_converter() -> cattrs.Converter:
     converter = cattrs.Converter(forbid_extra_keys=True, detailed_validation=True)
-    converter.register_structure_hook(Address, _structure_address)
+    converter.register_structure_hook(Address, structure_address)
     converter.register_structure_hook(str, _structure_text)
     converter.register_structure_hook(int, _structure_integer)
     converter.register_structure_hook(float, _structure_number)
--- a/src/coltsfootspar/settings/model.py
+++ b/src/coltsfootspar/settings/model.py
@@ -26,7 +26,7 @@
 ]
 
 _NAME = re.compile(r"[a-z0-9][a-z0-9.-]{0,62}")
-_KEY = re.compile(r"(?:[0-9a-fA-F]{2}){16,}")
+KEY = re.compile(r"(?:[0-9a-fA-F]{2}){16,}")
 _REPLICA_COUNTS = (1, 3, 5, 7)
 _DEFAULT_NODE_ADMIN = Address("127.0.0.1", 7400)
 _DEFAULT_REPLICA_ADMIN = Address("127.0.0.1", 7401)
@@ -58,7 +58,7 @@
 
 
 def _require_key(_: Any, __: attrs.Attribute, value: str) -> None:
-    if not _KEY.fullmatch(value):
+    if not KEY.fullmatch(value):
         raise ValueError("is not at least 32 hexadecimal digits")
 
 
