Reduce the cost of a call; servers that fail at once attract no requests

Change: callers that left and idle connections are looked for with one poll; late requests are ended by the same check; replies are finished by a call instead of nested context managers; the exchange on a pooled connection, with its second try on a connection the server had closed, stands once in the pool. Between nodes an idle connection is no longer checked before a request that may be repeated.

A server that fails at once looked like the fastest one: a failure now counts as an answer as slow as the target latency.

--- a/src/coltsfootspar/relay/backend.py
+++ b/src/coltsfootspar/relay/backend.py
@@ -1,7 +1,6 @@
 """The own backend server: what it says of itself, and requests to it."""
 
-import contextlib
-from collections.abc import AsyncIterator, Callable
+from collections.abc import Callable
 
 import attrs
 import trio
@@ -16,10 +15,10 @@
     OutgoingCall,
     Reply,
     create_refusal,
+    do_nothing,
 )
 from coltsfootspar.relay.client import (
     IDLE_SECONDS,
-    ClientConnection,
     ConnectionPool,
 )
 from coltsfootspar.relay.gate import SlotGate, create_slot_gate
@@ -166,9 +165,11 @@
             self.report = None
             self._finish_change()
 
-    @contextlib.asynccontextmanager
-    async def send(self, outgoing: OutgoingCall) -> AsyncIterator[Reply]:
-        """Passes a call on; the reply's body is read within the context."""
+    async def send(self, outgoing: OutgoingCall) -> Reply:
+        """Passes a call on.
+
+        :returns: the reply; its slot is in use until :attr:`Reply.finish` is called.
+        """
         refusal = self._check_call(outgoing)
         if refusal is None:
             try:
@@ -176,21 +177,15 @@
             except RefusedError as error:
                 refusal = create_refusal(error.code, load=self.gate.load)
         if refusal is not None:
-            yield refusal
-            return
-        start = trio.current_time()
-        seconds = None
+            return refusal
+        reply = None
         try:
-            refusal = self._check_call(outgoing)
-            if refusal is not None:
-                yield refusal
-                return
-            async with self._request(outgoing) as reply:
-                if reply.outcome is Outcome.RAN and reply.status < _SERVER_ERROR:
-                    seconds = trio.current_time() - start
-                yield reply
+            # The backend server may have left while the call waited for a slot.
+            reply = self._check_call(outgoing) or await self._request(outgoing)
+            return reply
         finally:
-            self.gate.release(seconds)
+            if reply is None or reply.finish is do_nothing:
+                self.gate.release(None)
 
     async def _acquire(self, call: Call) -> Reply | None:
         """Takes a slot, or returns a refusal when the deadline passes before."""
@@ -215,70 +210,30 @@
             return create_refusal("deadline")
         return None
 
-    @contextlib.asynccontextmanager
-    async def _request(self, outgoing: OutgoingCall) -> AsyncIterator[Reply]:
-        is_idempotent = outgoing.call.is_idempotent
-        longest_idle = IDLE_SECONDS if is_idempotent else FRESH_SECONDS
-        async with contextlib.AsyncExitStack() as stack:
-            reply = await self._try_request(outgoing, stack, longest_idle)
-            yield attrs.evolve(reply, load=self.gate.load)
-
-    async def _try_request(
-        self,
-        outgoing: OutgoingCall,
-        stack: contextlib.AsyncExitStack,
-        longest_idle: float,
-    ) -> Reply:
-        lending = self._pool.lend(longest_idle)
-        try:
-            connection = await stack.enter_async_context(lending)
-        except TransferError as error:
-            self._note_unreachable(str(error))
-            return create_refusal("backend-unreachable")
-        was_reused = connection.is_reused
+    async def _request(self, outgoing: OutgoingCall) -> Reply:
+        pool, call = self._pool, outgoing.call
+        start = trio.current_time()
+        headers = self._create_headers(call)
         try:
-            return await self._exchange(outgoing, connection)
-        except TransferError as error:
-            connection.close()
-            log_decision(
-                "backend-broke-off",
-                request=outgoing.request_id,
-                error=error.code,
-                reused=was_reused,
+            connection, response = await pool.exchange(
+                encode_outgoing(outgoing, headers, self._names),
+                BUFFER_BYTES,
+                longest_idle=IDLE_SECONDS if call.is_idempotent else FRESH_SECONDS,
+                is_repeatable=call.is_idempotent and outgoing.stream is None,
             )
-            is_stale = was_reused and not connection.has_response_begun
-            is_repeatable = outgoing.call.is_idempotent and outgoing.stream is None
-            if not (is_stale and is_repeatable):
-                return create_refusal(error.code, Outcome.MAY_HAVE_RUN, status=502)
-        # The server closed the connection while it was idle: a new one is needed.
-        return await self._try_request(outgoing, stack, 0.0)
-
-    async def _exchange(
-        self, outgoing: OutgoingCall, connection: ClientConnection
-    ) -> Reply:
-        headers = self._create_headers(outgoing.call)
-        request = encode_outgoing(outgoing, headers, self._names)
-        response = await connection.exchange(request, BUFFER_BYTES)
-        return self._create_reply(response, connection)
-
-    def _create_headers(self, call: Call) -> Headers:
-        names = self._names
-        left = max(1, int((call.deadline - trio.current_time()) * 1e3))
-        return [
-            (names.deadline_ms, b"%d" % left),
-            (names.instance, self.report.instance_id.encode()),
-            (names.caller, call.caller.encode()),
-        ]
-
-    def _create_reply(self, response: Response, connection: ClientConnection) -> Reply:
-        is_not_run = (
-            response.find(self._names.not_run.lower()) is not None
-            or response.status == _MISDIRECTED
-        )
+        except TransferError as error:
+            return self._create_failure(outgoing, error)
+        is_not_run = self._is_not_run(response)
+        is_served = not is_not_run and response.status < _SERVER_ERROR
+        seconds = trio.current_time() - start if is_served else None
 
         async def read() -> bytes:
             return await connection.read_body(response)
 
+        def finish() -> None:
+            pool.give_back(connection)
+            self.gate.release(seconds)
+
         return Reply(
             response.status,
             filter_headers(response, HOP_HEADERS),
@@ -288,11 +243,32 @@
             "backend-shed" if is_not_run else "",
             None if response.is_complete else read,
             response.content_length,
+            self.gate.load,
+            finish,
         )
 
-    def _note_unreachable(self, text: str) -> None:
-        self._down_until = trio.current_time() + RETRY_SECONDS
-        log_decision("backend-unreachable", error=text)
+    def _is_not_run(self, response: Response) -> bool:
+        is_rejected = response.find(self._names.not_run.lower()) is not None
+        return is_rejected or response.status == _MISDIRECTED
+
+    def _create_failure(self, outgoing: OutgoingCall, error: TransferError) -> Reply:
+        load = self.gate.load
+        if not error.may_have_run:
+            self._down_until = trio.current_time() + RETRY_SECONDS
+            log_decision("backend-unreachable", error=str(error))
+            return create_refusal("backend-unreachable", load=load)
+        log_decision("backend-broke-off", request=outgoing.request_id, error=error.code)
+        outcome = Outcome.MAY_HAVE_RUN
+        return create_refusal(error.code, outcome, status=502, load=load)
+
+    def _create_headers(self, call: Call) -> Headers:
+        names = self._names
+        left = max(1, int((call.deadline - trio.current_time()) * 1e3))
+        return [
+            (names.deadline_ms, b"%d" % left),
+            (names.instance, self.report.instance_id.encode()),
+            (names.caller, call.caller.encode()),
+        ]
 
     def _is_overdue(self) -> bool:
         return trio.current_time() - self._reported_at > REPORT_SECONDS
--- a/src/coltsfootspar/relay/calls.py
+++ b/src/coltsfootspar/relay/calls.py
@@ -25,6 +25,7 @@
     "create_refusal",
     "decode_call_header",
     "decode_load",
+    "do_nothing",
     "encode_call_header",
     "encode_load",
 ]
@@ -106,6 +107,10 @@
         return (self.in_use + self.waiting) / max(1, self.limit)
 
 
+def do_nothing() -> None:
+    """Finishes a reply that holds nothing."""
+
+
 @attrs.frozen
 class Reply:
     """The answer to a call.
@@ -114,6 +119,7 @@
     :param read: returns the next piece of the body, for one that is incomplete.
     :param error: why the system answers in place of the backend server.
     :param length: announced length of an incomplete body.
+    :param finish: to be called once the body was read or is not wanted.
     """
 
     status: int
@@ -125,6 +131,7 @@
     read: Callable[[], Awaitable[bytes]] | None = None
     length: int | None = None
     load: Load | None = None
+    finish: Callable[[], None] = do_nothing
 
 
 @attrs.frozen
--- a/src/coltsfootspar/relay/client.py
+++ b/src/coltsfootspar/relay/client.py
@@ -2,12 +2,13 @@
 
 import contextlib
 import socket
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import Awaitable, Callable
 
 import attrs
 import trio
 
 from coltsfootspar.exceptions import MalformedRequestError, TransferError
+from coltsfootspar.logs import log_decision
 from coltsfootspar.relay.messages import (
     LAST_CHUNK,
     Response,
@@ -16,8 +17,9 @@
 )
 from coltsfootspar.relay.sockets import (
     connect,
-    has_input,
+    find_readable,
     limit_silence,
+    peek,
     receive,
     send_all,
     wait_readable,
@@ -29,6 +31,8 @@
 # Several times the round trip between data centres.
 CONNECT_SECONDS = 0.25
 IDLE_SECONDS = 8.0
+# Several round trips between data centres.
+STALE_SECONDS = 0.05
 # Share of the announced idle time for which a connection is used again.
 _IDLE_SHARE = 0.6
 # A body up to this size fits into the buffers of a new connection, so that it
@@ -86,14 +90,17 @@
         self.sock.close()
 
     def is_usable(self, now: float, longest_idle: float) -> bool:
-        """Tells whether another request may be sent."""
+        """Tells whether another request may be sent, as far as is known."""
         return (
             not self.is_spent
             and now - self.used_at < min(self.idle_seconds, longest_idle)
             and not self._reader.messages
-            and not has_input(self.sock)
         )
 
+    def has_input(self) -> bool:
+        """Tells whether bytes or the end have arrived that no request asked for."""
+        return peek(self.sock) is not None
+
     async def exchange(self, request: OutgoingRequest, buffer: int) -> Response:
         """Sends a request and reads its response.
 
@@ -210,43 +217,68 @@
 class ConnectionPool:
     """Connections to one address; the one used last is used first.
 
+    :param checks_input: true when the server may send bytes that belong to no
+        request; a connection with such bytes is then not used again.
     :param opened: connections opened so far.
     """
 
     address: Address
+    checks_input: bool = True
     opened: int = 0
     _idle: list[ClientConnection] = attrs.field(factory=list)
 
-    @contextlib.asynccontextmanager
-    async def lend(
-        self, longest_idle: float = IDLE_SECONDS
-    ) -> AsyncIterator[ClientConnection]:
-        """Lends a connection; it is kept if its last response was complete.
+    async def exchange(
+        self,
+        request: OutgoingRequest,
+        buffer: int,
+        *,
+        longest_idle: float = IDLE_SECONDS,
+        is_repeatable: bool = False,
+    ) -> tuple[ClientConnection, Response]:
+        """Sends a request and reads its response.
 
+        :param buffer: bytes of the body to read; the rest of a longer one follows
+            with :meth:`ClientConnection.read_body`.
         :param longest_idle: a connection without use for this time is not taken,
             seconds.
-        :raises TransferError: when no connection can be made.
+        :param is_repeatable: true when the request may be sent again if the server
+            turns out to have closed an idle connection.
+        :returns: the connection, which has to be given back, and the response.
+        :raises TransferError: when no connection can be made or it ends early.
         """
-        connection = self._take(longest_idle)
-        if connection is None:
-            sock = await connect(self.address, CONNECT_SECONDS)
-            self.opened += 1
-            connection = ClientConnection(sock)
-        is_kept = False
-        try:
-            yield connection
-            is_kept = connection.is_reused
-        finally:
-            if is_kept and not connection.is_spent:
-                self._idle.append(connection)
-            else:
-                connection.close()
+        connection = self._take(longest_idle, is_repeatable=is_repeatable)
+        if connection is not None:
+            sent_at = trio.current_time()
+            try:
+                return connection, await _exchange(connection, request, buffer)
+            except TransferError as error:
+                if not (is_repeatable and _is_stale(connection, sent_at)):
+                    raise
+                log_decision(
+                    "idle-connection-closed",
+                    request=request.request_id,
+                    address=self.address,
+                    error=error.code,
+                )
+        sock = await connect(self.address, CONNECT_SECONDS)
+        self.opened += 1
+        connection = ClientConnection(sock)
+        return connection, await _exchange(connection, request, buffer)
+
+    def give_back(self, connection: ClientConnection) -> None:
+        """Keeps a connection for another request, if its response was complete."""
+        if connection.is_reused and not connection.is_spent:
+            self._idle.append(connection)
+        else:
+            connection.close()
 
     def drop_idle(self, now: float) -> None:
-        """Closes the connections that were not used for some time."""
+        """Closes the connections that were not used for some time, or have ended."""
+        idle = {connection.sock.fileno(): connection for connection in self._idle}
+        ended = set(find_readable(idle)) if idle else set()
         kept = []
-        for connection in self._idle:
-            if connection.is_usable(now, IDLE_SECONDS):
+        for descriptor, connection in idle.items():
+            if descriptor not in ended and connection.is_usable(now, IDLE_SECONDS):
                 kept.append(connection)
             else:
                 connection.close()
@@ -258,16 +290,43 @@
             connection.close()
         self._idle.clear()
 
-    def _take(self, longest_idle: float) -> ClientConnection | None:
+    def _take(
+        self, longest_idle: float, *, is_repeatable: bool
+    ) -> ClientConnection | None:
         now = trio.current_time()
+        # The check costs a system call; a request that may be sent again goes
+        # without it.
+        needs_check = self.checks_input or not is_repeatable
         while self._idle:
             connection = self._idle.pop()
-            if connection.is_usable(now, longest_idle):
+            if connection.is_usable(now, longest_idle) and not (
+                needs_check and connection.has_input()
+            ):
                 return connection
             connection.close()
         return None
 
 
+async def _exchange(
+    connection: ClientConnection, request: OutgoingRequest, buffer: int
+) -> Response:
+    try:
+        return await connection.exchange(request, buffer)
+    except BaseException:
+        connection.close()
+        raise
+
+
+def _is_stale(connection: ClientConnection, sent_at: float) -> bool:
+    """Tells whether the server had closed a connection before a request came.
+
+    Its answer to the request is then a reset, within a round trip; a connection
+    that ends later may have carried the request.
+    """
+    is_early = trio.current_time() - sent_at < STALE_SECONDS
+    return is_early and not connection.has_response_begun
+
+
 def _parse_idle_seconds(value: bytes, default: float) -> float:
     for part in value.split(b","):
         name, _, number = part.strip().partition(b"=")
--- a/src/coltsfootspar/relay/forwarding.py
+++ b/src/coltsfootspar/relay/forwarding.py
@@ -1,8 +1,7 @@
 """The way of a request from its caller to a backend server and back."""
 
-import contextlib
 import math
-from collections.abc import AsyncIterator, Callable, Sequence
+from collections.abc import Callable, Sequence
 from typing import Protocol
 
 import attrs
@@ -27,7 +26,7 @@
     decode_load,
     encode_call_header,
 )
-from coltsfootspar.relay.client import ConnectionPool, OutgoingRequest
+from coltsfootspar.relay.client import ClientConnection, ConnectionPool, OutgoingRequest
 from coltsfootspar.relay.messages import Response, filter_headers
 from coltsfootspar.relay.outgoing import create_outgoing, encode_outgoing
 from coltsfootspar.relay.placement import Placement
@@ -218,7 +217,8 @@
         if trial.sent:
             self.counters.repeats += 1
         trial.tried.add(candidate.node_id)
-        async with self._send(candidate, outgoing, trial) as reply:
+        reply = await self._send(candidate, outgoing)
+        try:
             if not self._is_final(route, outgoing, trial, reply):
                 return True
             exchange.clear_deadline()
@@ -228,6 +228,8 @@
                 self.counters.observe_seconds(elapsed)
                 await deliver(exchange, reply, reply.headers)
             return False
+        finally:
+            reply.finish()
 
     def _may_repeat(self, route: Route, service: str, trial: _Trial) -> bool:
         return trial.sent < route.attempts and self._budget.take(
@@ -262,64 +264,65 @@
         candidates = self._directory.list_candidates(service)
         return self._placement.choose(candidates, trial.tried) is not None
 
-    @contextlib.asynccontextmanager
-    async def _send(
-        self, candidate: Candidate, outgoing: OutgoingCall, trial: _Trial
-    ) -> AsyncIterator[Reply]:
-        node_id = candidate.node_id
+    async def _send(self, candidate: Candidate, outgoing: OutgoingCall) -> Reply:
+        """Sends a call to a node and notes how the node did."""
         start = trio.current_time()
-        seconds, load = None, None
+        reply = None
         self._placement.begin(candidate)
-        # Cancelled while it waits, the call was at least this slow.
-        is_pending = True
         try:
-            if node_id == self._node_id:
-                sending = self._backend.send(outgoing)
+            if candidate.node_id == self._node_id:
+                reply = await self._backend.send(outgoing)
             else:
-                sending = self._send_to_peer(node_id, outgoing, trial)
-            async with sending as reply:
-                is_pending = False
-                load = reply.load
-                is_silent = load is None
-                if reply.outcome is not Outcome.NOT_RUN and not is_silent:
-                    seconds = trio.current_time() - start
-                if reply.error in _ABSENCE_ERRORS or is_silent:
-                    self._placement.pause(candidate, is_silent=is_silent)
-                yield reply
+                reply = await self._send_to_peer(candidate.node_id, outgoing)
+            return reply
         finally:
-            if is_pending and seconds is None:
-                seconds = trio.current_time() - start
-            self._placement.finish(candidate, seconds, load)
-
-    @contextlib.asynccontextmanager
-    async def _send_to_peer(
-        self, node_id: str, outgoing: OutgoingCall, trial: _Trial
-    ) -> AsyncIterator[Reply]:
+            elapsed = trio.current_time() - start
+            self._note_reply(candidate, outgoing.call, reply, elapsed)
+
+    def _note_reply(
+        self, candidate: Candidate, call: Call, reply: Reply | None, elapsed: float
+    ) -> None:
+        """Notes the end of a call.
+
+        :param reply: None when the call was cancelled; it was at least this slow.
+        """
+        load = reply.load if reply is not None else None
+        seconds = elapsed
+        if reply is not None:
+            is_silent = load is None
+            if reply.outcome is Outcome.NOT_RUN or is_silent:
+                seconds = None
+            elif reply.status >= _SERVER_ERROR:
+                # A server that fails at once must not look like the fastest one.
+                seconds = max(elapsed, call.target_latency)
+            if reply.error in _ABSENCE_ERRORS or is_silent:
+                self._placement.pause(candidate, is_silent=is_silent)
+        self._placement.finish(candidate, seconds, load)
+
+    async def _send_to_peer(self, node_id: str, outgoing: OutgoingCall) -> Reply:
         address = self._directory.find_address(node_id)
         if address is None:
-            yield create_refusal("no-address")
-            return
+            return create_refusal("no-address")
         pool = self._pools.get(address)
         if pool is None:
-            pool = self._pools[address] = ConnectionPool(address)
-        async with contextlib.AsyncExitStack() as stack:
-            is_sent = False
-            try:
-                connection = await stack.enter_async_context(pool.lend())
-                is_sent = True
-                request = self._encode(outgoing)
-                response = await connection.exchange(request, BUFFER_BYTES)
-                reply = _create_peer_reply(response, connection.read_body)
-            except TransferError as error:
-                log_decision(
-                    "node-broke-off" if is_sent else "node-unreachable",
-                    request=outgoing.request_id,
-                    node=node_id,
-                    error=error.code,
-                )
-                outcome = Outcome.MAY_HAVE_RUN if is_sent else Outcome.NOT_RUN
-                reply = create_refusal(error.code, outcome, status=502)
-            yield reply
+            pool = ConnectionPool(address, checks_input=False)
+            self._pools[address] = pool
+        try:
+            connection, response = await pool.exchange(
+                self._encode(outgoing),
+                BUFFER_BYTES,
+                is_repeatable=outgoing.call.is_idempotent and outgoing.stream is None,
+            )
+        except TransferError as error:
+            log_decision(
+                "node-broke-off" if error.may_have_run else "node-unreachable",
+                request=outgoing.request_id,
+                node=node_id,
+                error=error.code,
+            )
+            outcome = Outcome.MAY_HAVE_RUN if error.may_have_run else Outcome.NOT_RUN
+            return create_refusal(error.code, outcome, status=502)
+        return _create_peer_reply(pool, connection, response)
 
     def _encode(self, outgoing: OutgoingCall) -> OutgoingRequest:
         call_header = encode_call_header(outgoing.call, trio.current_time())
@@ -374,11 +377,13 @@
         await exchange.answer(503, headers, b"")
 
 
-def _create_peer_reply(response: Response, read_body: Callable) -> Reply:
+def _create_peer_reply(
+    pool: ConnectionPool, connection: ClientConnection, response: Response
+) -> Reply:
     outcome = response.find(OUTCOME_HEADER.lower())
 
     async def read() -> bytes:
-        return await read_body(response)
+        return await connection.read_body(response)
 
     return Reply(
         response.status,
@@ -390,6 +395,7 @@
         None if response.is_complete else read,
         response.content_length,
         decode_load(response.find(LOAD_HEADER.lower())),
+        lambda: pool.give_back(connection),
     )
 
 
--- a/src/coltsfootspar/relay/receiving.py
+++ b/src/coltsfootspar/relay/receiving.py
@@ -60,9 +60,12 @@
                 exchange, attrs.evolve(late, load=self._backend.gate.load)
             ),
         )
-        async with self._backend.send(outgoing) as reply:
-            exchange.clear_deadline()
+        reply = await self._backend.send(outgoing)
+        exchange.clear_deadline()
+        try:
             await self._answer(exchange, reply)
+        finally:
+            reply.finish()
 
     async def _answer(self, exchange: Exchange, reply: Reply) -> None:
         headers = [*reply.headers, (OUTCOME_HEADER, reply.outcome.encode())]
--- a/src/coltsfootspar/relay/server.py
+++ b/src/coltsfootspar/relay/server.py
@@ -24,9 +24,9 @@
 )
 from coltsfootspar.relay.sockets import (
     accept,
-    get_peer_host,
-    is_closed_by_peer,
+    find_readable,
     listen,
+    peek,
     receive,
     send_all,
     wait_readable,
@@ -36,9 +36,9 @@
 
 __all__ = ["Exchange", "Handler", "RelayServer", "create_relay_server"]
 
-# How often callers that have left are looked for while their requests wait. Two
-# nodes in a row have to notice within half a second; each look is a system call.
-LEFT_CHECK_SECONDS = 0.15
+# How often deadlines and callers that have left are looked for. Two nodes in a row
+# have to notice within half a second that a caller has left.
+CHECK_SECONDS = 0.06
 _DISCARD_SECONDS = 2.0
 _DISCARD_BYTES = 64 << 20
 _CLOSE: Headers = [(b"Connection", b"close")]
@@ -57,6 +57,7 @@
     scope: trio.CancelScope = attrs.field(factory=trio.CancelScope)
     has_answered: bool = False
     has_left: bool = False
+    deadline: float = math.inf
     on_late: Callable[[], Awaitable[None]] | None = None
 
     @property
@@ -137,24 +138,28 @@
     def set_deadline(
         self, deadline: float, on_late: Callable[[], Awaitable[None]]
     ) -> None:
-        """Ends the handler at a deadline, until :meth:`clear_deadline`.
+        """Ends the handler soon after a deadline, until :meth:`clear_deadline`.
 
-        One scope serves the deadline and callers that leave: each costs as much as
-        a system call.
+        Deadlines of scopes cost more than the checks of the server.
 
         :param deadline: trio clock, seconds.
         :param on_late: answers in place of the handler.
         """
         self.on_late = on_late
-        self.scope.deadline = deadline
+        self.deadline = deadline
 
     def clear_deadline(self) -> None:
         """Lets the handler finish, however late it is."""
-        self.scope.deadline = math.inf
+        self.deadline = math.inf
+
+    @property
+    def descriptor(self) -> int:
+        """File descriptor of the connection."""
+        return self._connection.sock.fileno()
 
     def check_caller(self) -> None:
-        """Cancels the exchange when its caller has left."""
-        if is_closed_by_peer(self._connection.sock):
+        """Cancels the exchange when its caller has closed the connection."""
+        if peek(self._connection.sock) == b"":
             self.has_left = True
             self.scope.cancel()
 
@@ -174,7 +179,7 @@
 
     server: "RelayServer"
     sock: socket.socket
-    caller_host: str = ""
+    caller_host: str
     reader: RequestReader = attrs.field(factory=RequestReader)
     is_last: bool = False
     is_broken: bool = False
@@ -334,16 +339,16 @@
         listener = listen(address)
         with listener:
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(self._check_callers)
+                nursery.start_soon(self._check)
                 task_status.started()
                 while True:
                     try:
-                        sock = await accept(listener)
+                        sock, host = await accept(listener)
                     except OSError as error:
                         logging.warning("Connection not accepted: %s", error)
-                        await trio.sleep(LEFT_CHECK_SECONDS)
+                        await trio.sleep(CHECK_SECONDS)
                         continue
-                    nursery.start_soon(self._run_connection, sock)
+                    nursery.start_soon(self._run_connection, sock, host)
 
     async def drain(self) -> None:
         """Reads no more requests and waits for those in progress."""
@@ -351,7 +356,7 @@
         self.close_idle()
         # Exchanges are many and short, and have no event for the last one.
         while self.exchanges:  # noqa: ASYNC110
-            await trio.sleep(LEFT_CHECK_SECONDS / 2)
+            await trio.sleep(CHECK_SECONDS)
 
     def close_idle(self) -> None:
         """Closes the connections on which no request has begun."""
@@ -359,11 +364,10 @@
             if connection.is_idle:
                 connection.scope.cancel()
 
-    async def _run_connection(self, sock: socket.socket) -> None:
-        connection = _Connection(self, sock)
+    async def _run_connection(self, sock: socket.socket, host: str) -> None:
+        connection = _Connection(self, sock, host)
         self._connections.add(connection)
         try:
-            connection.caller_host = get_peer_host(sock)
             await connection.run()
         except (TransferError, MalformedRequestError, TooLargeError) as error:
             logging.debug("Connection ended: %s", error)
@@ -374,15 +378,24 @@
             self._connections.discard(connection)
             sock.close()
 
-    async def _check_callers(self) -> None:
+    async def _check(self) -> None:
         while True:
-            await trio.sleep(LEFT_CHECK_SECONDS)
-            for exchange in list(self.exchanges):
-                exchange.check_caller()
+            await trio.sleep(CHECK_SECONDS)
+            self._cancel_left()
             now = trio.current_time()
-            for connection in list(self._connections):
+            for exchange in self.exchanges:
+                if now >= exchange.deadline:
+                    exchange.scope.cancel()
+            for connection in self._connections:
                 connection.check_reading(now)
 
+    def _cancel_left(self) -> None:
+        """Cancels the exchanges whose callers have left."""
+        waiting = {exchange.descriptor: exchange for exchange in self.exchanges}
+        for descriptor in find_readable(waiting) if waiting else ():
+            # Input may also be the next request.
+            waiting[descriptor].check_caller()
+
 
 def create_relay_server(handler: Handler) -> RelayServer:
     """Creates a server.
--- a/src/coltsfootspar/relay/sockets.py
+++ b/src/coltsfootspar/relay/sockets.py
@@ -5,7 +5,9 @@
 """
 
 import errno
+import select
 import socket
+from collections.abc import Iterable
 
 import trio
 
@@ -15,11 +17,10 @@
 __all__ = [
     "accept",
     "connect",
-    "get_peer_host",
-    "has_input",
-    "is_closed_by_peer",
+    "find_readable",
     "limit_silence",
     "listen",
+    "peek",
     "receive",
     "send_all",
     "wait_readable",
@@ -34,6 +35,10 @@
 BACKLOG = 1024
 _RECEIVE_BYTES = 65_536
 
+# Waits for input where it is not likely to be there: trying first would cost one
+# more system call.
+wait_readable = trio.lowlevel.wait_readable
+
 
 def _set_options(sock: socket.socket) -> None:
     sock.setblocking(False)
@@ -91,21 +96,19 @@
     return sock
 
 
-async def accept(listener: socket.socket) -> socket.socket:
-    """Waits for a connection."""
+async def accept(listener: socket.socket) -> tuple[socket.socket, str]:
+    """Waits for a connection.
+
+    :returns: the connection and the IP address of its peer.
+    """
     while True:
         try:
-            sock, _ = listener.accept()
+            sock, (host, _) = listener.accept()
         except (BlockingIOError, ConnectionAbortedError):
             await trio.lowlevel.wait_readable(listener)
         else:
             _set_options(sock)
-            return sock
-
-
-async def wait_readable(sock: socket.socket) -> None:
-    """Waits for input where it is not likely to be there, to save a system call."""
-    await trio.lowlevel.wait_readable(sock)
+            return sock, host
 
 
 async def receive(sock: socket.socket) -> bytes:
@@ -137,33 +140,26 @@
             raise TransferError(str(error), may_have_run=True, code="reset") from error
 
 
-def get_peer_host(sock: socket.socket) -> str:
-    """Returns the IP address of the peer.
+def peek(sock: socket.socket) -> bytes | None:
+    """Returns the next byte without taking it.
 
-    :raises TransferError: when the connection has ended.
+    :returns: None when nothing has arrived; empty when the peer has closed or
+        reset the connection.
     """
     try:
-        return sock.getpeername()[0]
-    except OSError as error:
-        raise TransferError(str(error), may_have_run=False, code="reset") from error
-
-
-def is_closed_by_peer(sock: socket.socket) -> bool:
-    """Tells whether the peer has closed or reset the connection."""
-    try:
-        return sock.recv(1, socket.MSG_PEEK) == b""
+        return sock.recv(1, socket.MSG_PEEK)
     except BlockingIOError:
-        return False
+        return None
     except OSError:
-        return True
+        return b""
 
 
-def has_input(sock: socket.socket) -> bool:
-    """Tells whether bytes or the end of the connection wait to be read."""
-    try:
-        sock.recv(1, socket.MSG_PEEK)
-    except BlockingIOError:
-        return False
-    except OSError:
-        return True
-    return True
+def find_readable(descriptors: Iterable[int]) -> list[int]:
+    """Finds the connections with bytes or an end to be read, in one system call.
+
+    :param descriptors: file descriptors of open connections.
+    """
+    poller = select.poll()
+    for descriptor in descriptors:
+        poller.register(descriptor, select.POLLIN)
+    return [descriptor for descriptor, _ in poller.poll(0)]
--- a/src/coltsfootspar/relay/tests/test_path.py
+++ b/src/coltsfootspar/relay/tests/test_path.py
@@ -108,6 +108,27 @@
         assert answer.startswith(b"HTTP/1.1 200")
 
 
+async def test_failing_server_does_not_attract_requests(bed):
+    """Guards against a server that fails at once and gets most of the requests."""
+
+    async def fail(stream, head):
+        await stream.send_all(b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n")
+
+    async def answer_slowly(stream, head):
+        await trio.sleep(0.03)
+        await stream.send_all(OK)
+
+    failing = await bed.add_server(fail)
+    server = await bed.add_server(answer_slowly)
+    await bed.add_node("n1", failing.address)
+    await bed.add_node("n2", server.address)
+    set_once(bed)
+    _, _, entry = await bed.add_entry()
+    for _ in range(20):
+        await ask(entry, encode_post(b"pay"))
+    assert len(failing.heads) < 5
+
+
 async def test_truncated_answer_is_not_complete(bed):
     """Guards against a cut answer that looks whole."""
 
