Close only connections on which nothing has arrived

The idle timeout had the same fault. Change: the socket is looked at before the connection is closed. The test got a reset before and an answer now.

--- a/src/coltsfootspar/relay/server.py
+++ b/src/coltsfootspar/relay/server.py
@@ -205,11 +205,16 @@
         limits = self.server.limits
         if self.is_idle:
             if now - self.idle_since > limits.idle_seconds:
-                self.scope.cancel()
+                self.close_idle()
         elif self.is_reading and now - self.idle_since > limits.header_seconds:
             self.is_too_slow = True
             self.scope.cancel()
 
+    def close_idle(self) -> None:
+        """Closes the connection unless a request has begun or has arrived."""
+        if self.is_idle and peek(self.sock) is None:
+            self.scope.cancel()
+
     async def read_more(self, request: Request) -> None:
         """Reads more of a request's body.
 
@@ -360,9 +365,8 @@
 
     def close_idle(self) -> None:
         """Closes the connections on which no request has begun."""
-        for connection in list(self._connections):
-            if connection.is_idle:
-                connection.scope.cancel()
+        for connection in self._connections:
+            connection.close_idle()
 
     async def _run_connection(self, sock: socket.socket, host: str) -> None:
         connection = _Connection(self, sock, host)
--- a/src/coltsfootspar/relay/tests/test_server.py
+++ b/src/coltsfootspar/relay/tests/test_server.py
@@ -1,5 +1,7 @@
 """Tests of the server against malformed and slow callers."""
 
+import socket
+
 import attrs
 import pytest
 import trio
@@ -98,6 +100,26 @@
     assert b"Connection: close" in answers[0]
 
 
+async def test_drain_serves_a_request_that_has_just_arrived(bed):
+    """Guards against a request that is passed on and gets no answer.
+
+    The connection looks idle until its task has read the request.
+    """
+
+    async def answer_later(exchange):
+        await trio.sleep(0.01)
+        await exchange.answer(200, [], b"done")
+
+    server, address = await start(bed, answer_later)
+    with socket.create_connection((address.host, address.port)) as caller:
+        await trio.sleep(0.05)
+        caller.sendall(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+        server.close_idle()
+        stream = trio.SocketStream(trio.socket.from_stdlib_socket(caller.dup()))
+        with trio.fail_after(5):
+            assert (await stream.receive_some()).endswith(b"done")
+
+
 async def test_draining_server_still_serves_new_connections(bed):
     """Guards against connections that are reset while callers are still sent here."""
     server, address = await start(bed, echo)
