Pass a server's failure on; answer what is in progress when a node ends

The server's answer is now kept and delivered. Cause 2: at the end of its grace time a node closed the connections of requests in progress without an answer; they now get 504. Both tests failed before.

--- a/src/coltsfootspar/fleet/node.py
+++ b/src/coltsfootspar/fleet/node.py
@@ -157,6 +157,8 @@
             return True
         cut = len(self.outbound.exchanges) + len(self.inbound.exchanges)
         logging.warning("Stopped with %d requests in progress", cut)
+        await self.inbound.answer_rest()
+        await self.outbound.answer_rest()
         return False
 
     async def _sweep(self) -> None:
--- a/src/coltsfootspar/relay/forwarding.py
+++ b/src/coltsfootspar/relay/forwarding.py
@@ -104,12 +104,14 @@
     :param sent: backend servers that may have got it.
     :param may_have_run: true once one of them may have run it.
     :param error: why the last node did not answer it.
+    :param failure: failure that a backend server has answered with.
     """
 
     tried: set[str] = attrs.field(factory=set)
     sent: int = 0
     may_have_run: bool = False
     error: str = "no-candidate"
+    failure: Reply | None = None
 
 
 @attrs.define(eq=False)
@@ -212,8 +214,6 @@
         candidate = self._placement.choose(candidates, trial.tried)
         if candidate is None or len(trial.tried) >= MAX_NODES:
             return False
-        if trial.sent and not self._may_repeat(route, service, trial):
-            return False
         if trial.sent:
             self.counters.repeats += 1
         trial.tried.add(candidate.node_id)
@@ -231,11 +231,6 @@
         finally:
             reply.finish()
 
-    def _may_repeat(self, route: Route, service: str, trial: _Trial) -> bool:
-        return trial.sent < route.attempts and self._budget.take(
-            service, may_have_run=trial.may_have_run
-        )
-
     def _is_final(
         self, route: Route, outgoing: OutgoingCall, trial: _Trial, reply: Reply
     ) -> bool:
@@ -244,18 +239,24 @@
             return True
         trial.error = reply.error or str(reply.status)
         if reply.outcome is Outcome.NOT_RUN:
-            if reply.error == "backend-shed":
-                trial.sent += 1
-            return False
+            if reply.error != "backend-shed":
+                return False
+            trial.sent += 1
+            return not self._may_repeat(route, outgoing.call, trial)
         trial.sent += 1
         trial.may_have_run = True
-        can_repeat = (
-            route.is_idempotent
-            and outgoing.stream is None
-            and trial.sent < route.attempts
-            and self._has_time(outgoing.call)
+        if reply.outcome is Outcome.RAN and reply.read is None:
+            trial.failure = reply
+        can_repeat = route.is_idempotent and outgoing.stream is None
+        return not (can_repeat and self._may_repeat(route, outgoing.call, trial))
+
+    def _may_repeat(self, route: Route, call: Call, trial: _Trial) -> bool:
+        return (
+            trial.sent < route.attempts
+            and self._has_time(call)
+            and self._has_other(call.service, trial)
+            and self._budget.take(call.service, may_have_run=trial.may_have_run)
         )
-        return not can_repeat or not self._has_other(outgoing.call.service, trial)
 
     def _has_time(self, call: Call) -> bool:
         return call.deadline - trio.current_time() > call.target_latency * 0.1
@@ -336,9 +337,14 @@
         *,
         is_late: bool,
     ) -> None:
-        """Answers a request that no backend server has answered."""
+        """Answers a request that no backend server has answered well."""
+        if trial.failure is not None:
+            self.counters.failed += 1
+            await deliver(exchange, trial.failure, trial.failure.headers)
+            return
         if is_late:
-            trial.error = "deadline"
+            is_over = trio.current_time() >= outgoing.call.deadline
+            trial.error = "deadline" if is_over else "stopping"
         elif not trial.may_have_run:
             await self._refuse(exchange, trial.error, outgoing)
             return
--- a/src/coltsfootspar/relay/server.py
+++ b/src/coltsfootspar/relay/server.py
@@ -40,6 +40,7 @@
 # have to notice within half a second that a caller has left.
 CHECK_SECONDS = 0.06
 _DISCARD_SECONDS = 2.0
+_LAST_ANSWERS_SECONDS = 0.1
 _DISCARD_BYTES = 64 << 20
 _CLOSE: Headers = [(b"Connection", b"close")]
 
@@ -363,6 +364,14 @@
         while self.exchanges:  # noqa: ASYNC110
             await trio.sleep(CHECK_SECONDS)
 
+    async def answer_rest(self) -> None:
+        """Answers the requests in progress as if their deadlines had passed."""
+        for exchange in self.exchanges:
+            exchange.scope.cancel()
+        with trio.move_on_after(_LAST_ANSWERS_SECONDS):
+            while self.exchanges:  # noqa: ASYNC110
+                await trio.sleep(_LAST_ANSWERS_SECONDS / 10)
+
     def close_idle(self) -> None:
         """Closes the connections on which no request has begun."""
         for connection in self._connections:
--- a/src/coltsfootspar/relay/tests/test_path.py
+++ b/src/coltsfootspar/relay/tests/test_path.py
@@ -129,6 +129,31 @@
     assert len(failing.heads) < 5
 
 
+async def test_failure_of_the_server_is_passed_on(bed):
+    """Guards against a failure of our own in place of the server's answer."""
+
+    async def fail(stream, head):
+        await stream.send_all(
+            b"HTTP/1.1 500 No\r\nX-Seal: 1\r\nContent-Length: 2\r\n\r\nno"
+        )
+
+    server = await bed.add_server(fail)
+    await bed.add_node("n1", server.address)
+    # The server of another node leaves, which the entry does not know yet.
+    backend = await bed.add_node("n2", server.address)
+    leaving = create_report(server.address, is_leaving=True, sequence=2)
+    backend.take_report(leaving)
+    forwarder, _, entry = await bed.add_entry()
+    forwarder._budget._ratio = forwarder._budget._fixed = 0.0
+    for _ in range(2):
+        answer = await ask(entry, encode_get())
+        assert answer.startswith(b"HTTP/1.1 500 No")
+        assert b"X-Seal: 1" in answer
+    forwarder._budget._fixed = 100.0
+    answer = await ask(entry, encode_get())
+    assert answer.startswith(b"HTTP/1.1 500 No")
+
+
 async def test_truncated_answer_is_not_complete(bed):
     """Guards against a cut answer that looks whole."""
 
--- a/src/coltsfootspar/relay/tests/test_server.py
+++ b/src/coltsfootspar/relay/tests/test_server.py
@@ -1,5 +1,6 @@
 """Tests of the server against malformed and slow callers."""
 
+import math
 import socket
 
 import attrs
@@ -120,6 +121,30 @@
             assert (await stream.receive_some()).endswith(b"done")
 
 
+async def test_rest_is_answered_at_the_end(bed):
+    """Guards against callers whose connections end without an answer."""
+
+    began = trio.Event()
+
+    async def wait(exchange):
+        began.set()
+        exchange.set_deadline(math.inf, lambda: exchange.answer(504, [], b""))
+        await trio.sleep_forever()
+
+    server, address = await start(bed, wait)
+    answers = []
+
+    async def call():
+        answers.append(await ask(address, b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"))
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(call)
+        await began.wait()
+        server.is_draining = True
+        await server.answer_rest()
+    assert answers[0].startswith(b"HTTP/1.1 504")
+
+
 async def test_draining_server_still_serves_new_connections(bed):
     """Guards against connections that are reset while callers are still sent here."""
     server, address = await start(bed, echo)
