--- a/src/coltsfootspar/fleet/common.py
+++ b/src/coltsfootspar/fleet/common.py
@@ -21,6 +21,7 @@
     "create_fleet_membership",
     "create_metrics_handler",
     "get_peer_address",
+    "list_gossip_seeds",
     "wait_for_stop",
 ]
 
@@ -61,13 +62,19 @@
         peer_address,
         time.time_ns() // 1_000_000,
     )
-    seeds = [
+    key = bytes.fromhex(settings.shared_key)
+    return create_membership(
+        identity, list_gossip_seeds(settings), port, key, timers, source
+    )
+
+
+def list_gossip_seeds(settings: Settings) -> list[Address]:
+    """Lists the gossip addresses of the seeds on other hosts."""
+    return [
         Address(seed.host, settings.gossip_port)
         for seed in settings.seeds
         if seed.host != settings.host
     ]
-    key = bytes.fromhex(settings.shared_key)
-    return create_membership(identity, seeds, port, key, timers, source)
 
 
 def create_metrics_handler(render: Callable[[], bytes]):
@@ -79,9 +86,15 @@
     return handle
 
 
-async def wait_for_stop(signals: AsyncIterator[int]) -> None:
-    """Waits for SIGTERM or SIGINT; SIGHUP is logged."""
+async def wait_for_stop(
+    signals: AsyncIterator[int], reload: Callable[[], None]
+) -> None:
+    """Waits for SIGTERM or SIGINT.
+
+    :param reload: reads the settings again, called at SIGHUP.
+    """
     async for number in signals:
         logging.info("Received %s", signal.Signals(number).name)
         if number != signal.SIGHUP:
             return
+        reload()
--- a/src/coltsfootspar/fleet/node.py
+++ b/src/coltsfootspar/fleet/node.py
@@ -14,11 +14,13 @@
     create_fleet_membership,
     create_metrics_handler,
     get_peer_address,
+    list_gossip_seeds,
     wait_for_stop,
 )
 from coltsfootspar.fleet.control import NodeControl, create_control_handler
 from coltsfootspar.fleet.interfaces import Dialect
 from coltsfootspar.fleet.metrics import FleetMetrics, create_fleet_metrics
+from coltsfootspar.fleet.reloading import SettingsFile
 from coltsfootspar.fleet.routecopy import RouteCopy, create_route_copy
 from coltsfootspar.fleet.seats import SEAT_SERVICE, name_seats
 from coltsfootspar.membership import Membership, open_udp_port
@@ -86,7 +88,7 @@
 class FleetNode:
     """All parts of a node."""
 
-    settings: FleetNodeSettings
+    file: SettingsFile
     timers: TimerService
     membership: Membership
     links: PeerLinks
@@ -102,6 +104,17 @@
     metrics: RelayServer
     is_stopping: bool = False
 
+    @property
+    def settings(self) -> FleetNodeSettings:
+        """Settings in force."""
+        return self.file.settings
+
+    def apply_settings(self, settings: FleetNodeSettings) -> None:
+        """Takes over settings that have changed."""
+        self.membership.replace_seeds(list_gossip_seeds(settings))
+        bounds = settings.bounds
+        self.forwarder.set_repeat_limits(bounds.repeat_ratio, bounds.repeat_extra)
+
     async def run(self, wait_for_stop: Callable[[], Awaitable[None]]) -> int:
         """Runs until it is to stop.
 
@@ -115,6 +128,7 @@
             nursery.start_soon(self.membership.run)
             nursery.start_soon(self.routes.follow, self.client)
             nursery.start_soon(self._sweep)
+            nursery.start_soon(self.file.follow, self.timers)
             await nursery.start(self.control.serve, settings.control)
             await nursery.start(self.inbound.serve, settings.inbound)
             await nursery.start(self.outbound.serve, settings.outbound)
@@ -191,19 +205,25 @@
         self._membership.announce(report.service, report.slots, report.warm_in)
 
 
-async def run_fleet_node(settings: FleetNodeSettings, dialect: Dialect) -> int:
+async def run_fleet_node(file: SettingsFile, dialect: Dialect) -> int:
     """Runs a node until SIGTERM or SIGINT.
 
+    :param file: with the settings of a node.
+
     :returns: exit code; 0 when no request was cut.
     :raises OSError: when an address cannot be listened on.
     """
+    settings = file.settings
     async with open_udp_port(Address(settings.host, settings.gossip_port)) as port:
-        node = _create_node(settings, dialect, port)
+        node = _create_node(file, dialect, port)
         with trio.open_signal_receiver(*STOP_SIGNALS) as signals:
-            return await node.run(functools.partial(wait_for_stop, signals))
+            return await node.run(
+                functools.partial(wait_for_stop, signals, file.reload)
+            )
 
 
-def _create_node(settings: FleetNodeSettings, dialect: Dialect, port) -> FleetNode:
+def _create_node(file: SettingsFile, dialect: Dialect, port) -> FleetNode:
+    settings = file.settings
     source = random.SystemRandom()
     timers = create_timer_service(source)
     membership = create_fleet_membership(
@@ -242,7 +262,7 @@
         dialect, NodeControl(backend, settings.service).serve
     )
     node = FleetNode(
-        settings=settings,
+        file=file,
         timers=timers,
         membership=membership,
         links=links,
@@ -258,6 +278,7 @@
         metrics=create_relay_server(create_metrics_handler(page.render)),
     )
     _add_metrics(page, node)
+    file.on_change = node.apply_settings
     return node
 
 
--- /dev/null
+++ b/src/coltsfootspar/fleet/reloading.py
@@ -0,0 +1,88 @@
+"""Settings that change while their process runs."""
+
+import os
+from collections.abc import Callable
+
+import attrs
+from absl import logging
+
+from coltsfootspar.exceptions import SettingsError
+from coltsfootspar.logs import log_decision, set_verbosity
+from coltsfootspar.settings.fleet import FleetNodeSettings, FleetReplicaSettings
+from coltsfootspar.timers import TimerService
+
+__all__ = ["SettingsFile", "open_settings"]
+
+CHECK_PERIOD = 2.0
+# What takes effect without a restart.
+_LIVE_FIELDS = frozenset({"bounds", "log_level", "seeds"})
+
+Settings = FleetNodeSettings | FleetReplicaSettings
+
+
+@attrs.define(eq=False)
+class SettingsFile:
+    """The settings file of a process.
+
+    :param settings: the last settings without a fault.
+    :param on_change: called with changed settings.
+    """
+
+    path: str
+    settings: Settings
+    on_change: Callable[[Settings], None] = lambda settings: None
+    _load: Callable[[str], Settings] = attrs.field(kw_only=True)
+    _modified_ns: int = attrs.field(kw_only=True)
+
+    async def follow(self, timers: TimerService) -> None:
+        """Looks for changes until cancelled; the file may change without a signal."""
+        async for _ in timers.subscribe(CHECK_PERIOD):
+            if self._read_modified_ns() != self._modified_ns:
+                self.reload()
+
+    def reload(self) -> None:
+        """Reads the file again; settings with a fault are logged and not taken."""
+        self._modified_ns = self._read_modified_ns()
+        try:
+            settings = self._load(self.path)
+        except SettingsError as error:
+            logging.error("Settings kept: %s", "; ".join(error.problems))
+            return
+        changed = _list_changed(self.settings, settings)
+        log_decision(
+            "settings-read",
+            changed=changed,
+            need_restart=[name for name in changed if name not in _LIVE_FIELDS],
+        )
+        if not changed:
+            return
+        live = {name: getattr(settings, name) for name in _LIVE_FIELDS}
+        self.settings = attrs.evolve(self.settings, **live)
+        set_verbosity(self.settings.log_level)
+        self.on_change(self.settings)
+
+    def _read_modified_ns(self) -> int:
+        return _read_modified_ns(self.path)
+
+
+def _list_changed(old: Settings, new: Settings) -> list[str]:
+    names = [field.name for field in attrs.fields(type(old))]
+    return [name for name in names if getattr(old, name) != getattr(new, name)]
+
+
+def _read_modified_ns(path: str) -> int:
+    try:
+        return os.stat(path).st_mtime_ns
+    except OSError as error:
+        logging.warning("Settings file not found: %s", error)
+        return 0
+
+
+def open_settings(path: str, load: Callable[[str], Settings]) -> SettingsFile:
+    """Reads and checks a settings file.
+
+    :param load: reads the settings of the program.
+    :raises SettingsError: naming all faults.
+    """
+    modified_ns = _read_modified_ns(path)
+    return SettingsFile(path, load(path), load=load, modified_ns=modified_ns)
--- a/src/coltsfootspar/fleet/replica.py
+++ b/src/coltsfootspar/fleet/replica.py
@@ -17,12 +17,14 @@
     create_fleet_membership,
     create_metrics_handler,
     get_peer_address,
+    list_gossip_seeds,
     wait_for_stop,
 )
 from coltsfootspar.fleet.control import ReplicaControl, create_control_handler
 from coltsfootspar.fleet.interfaces import Dialect
 from coltsfootspar.fleet.metrics import create_fleet_metrics
 from coltsfootspar.fleet.peers import ask_address
+from coltsfootspar.fleet.reloading import SettingsFile
 from coltsfootspar.fleet.seats import (
     SEAT_SERVICE,
     SeatMap,
@@ -98,6 +100,11 @@
         """Where other replicas reach this process."""
         return Address(self.settings.host, self.settings.peer_port)
 
+    def apply_settings(self, settings: FleetReplicaSettings) -> None:
+        """Takes over settings that have changed."""
+        self.settings = settings
+        self.membership.replace_seeds(list_gossip_seeds(settings))
+
     async def run(self, wait_for_stop: Callable[[], Awaitable[None]]) -> int:
         """Runs until it is to stop.
 
@@ -362,12 +369,15 @@
     raise FrameError("replicas serve no calls")
 
 
-async def run_fleet_replica(settings: FleetReplicaSettings, dialect: Dialect) -> int:
+async def run_fleet_replica(file: SettingsFile, dialect: Dialect) -> int:
     """Runs the process of a host with a disk until SIGTERM or SIGINT.
 
+    :param file: with the settings of a replica.
+
     :returns: exit code.
     :raises OSError: when an address cannot be listened on.
     """
+    settings = file.settings
     source = random.SystemRandom()
     timers = create_timer_service(source)
     own = Address(settings.host, settings.peer_port)
@@ -377,5 +387,11 @@
         process = FleetReplica(
             settings, dialect, membership, timers, create_seat_map(peers), source
         )
+        file.on_change = process.apply_settings
         with trio.open_signal_receiver(*STOP_SIGNALS) as signals:
-            return await process.run(functools.partial(wait_for_stop, signals))
+            stop = functools.partial(wait_for_stop, signals, file.reload)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(file.follow, timers)
+                code = await process.run(stop)
+                nursery.cancel_scope.cancel()
+            return code
--- /dev/null
+++ b/src/coltsfootspar/fleet/tests/test_reloading.py
@@ -0,0 +1,88 @@
+"""Tests of settings that change while their process runs."""
+
+import json
+import os
+import random
+
+import pytest
+import trio
+
+from coltsfootspar.exceptions import SettingsError
+from coltsfootspar.fleet.reloading import CHECK_PERIOD, open_settings
+from coltsfootspar.settings.fleet import load_fleet_replica_settings
+from coltsfootspar.timers import create_timer_service
+from coltsfootspar.wire import Address
+
+CONTENT = {
+    "id": "core-1",
+    "host": "127.0.0.1",
+    "region": "r",
+    "data_centre": "a",
+    "seeds": ["127.0.0.1:8306"],
+    "shared_key": "5f" * 16,
+    "control": "127.0.0.1:8306",
+    "peer_port": 7620,
+    "gossip_port": 7620,
+    "metrics_port": 7621,
+    "data_folder": "data",
+    "is_first_start": True,
+}
+
+
+@pytest.fixture
+def write(tmp_path):
+    path = tmp_path / "settings.jsonc"
+
+    def write(**changes) -> str:
+        path.write_text(json.dumps({**CONTENT, **changes}))
+        # Two writes may fall into one tick of the file system's clock.
+        stamp = path.stat().st_mtime_ns + len(changes)
+        os.utime(path, ns=(stamp, stamp))
+        return str(path)
+
+    return write
+
+
+def test_seeds_change_and_others_wait_for_a_restart(write):
+    """Guards against seeds of the first start that are used for ever."""
+    file = open_settings(write(), load_fleet_replica_settings)
+    seen = []
+    file.on_change = seen.append
+    write(seeds=["127.0.0.2:8306"], metrics_port=9999)
+    file.reload()
+    assert seen == [file.settings]
+    assert file.settings.seeds == (Address("127.0.0.2", 8306),)
+    assert file.settings.metrics_port == CONTENT["metrics_port"]
+
+
+def test_faulty_settings_are_not_taken(write, tmp_path):
+    """Guards against a running process that ends since its file has a fault."""
+    file = open_settings(write(), load_fleet_replica_settings)
+    seen = []
+    file.on_change = seen.append
+    write(peer_port="none")
+    file.reload()
+    (tmp_path / "settings.jsonc").unlink()
+    file.reload()
+    assert seen == []
+    assert file.settings.peer_port == CONTENT["peer_port"]
+
+
+def test_faulty_settings_at_the_start(write):
+    """Guards against a process that starts with settings it cannot use."""
+    with pytest.raises(SettingsError):
+        open_settings(write(seeds=1), load_fleet_replica_settings)
+
+
+async def test_change_without_a_signal(write, autojump_clock):
+    """Guards against a changed file that no signal announced."""
+    file = open_settings(write(), load_fleet_replica_settings)
+    timers = create_timer_service(random.Random(1))
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(timers.run)
+        nursery.start_soon(file.follow, timers)
+        await trio.sleep(2 * CHECK_PERIOD)
+        write(seeds=["127.0.0.3:8306"])
+        await trio.sleep(2 * CHECK_PERIOD)
+        assert file.settings.seeds == (Address("127.0.0.3", 8306),)
+        nursery.cancel_scope.cancel()
--- a/src/coltsfootspar/logs/records.py
+++ b/src/coltsfootspar/logs/records.py
@@ -7,7 +7,7 @@
 
 from absl import flags, logging
 
-__all__ = ["JsonFormatter", "set_up_logs"]
+__all__ = ["JsonFormatter", "set_up_logs", "set_verbosity"]
 
 _VERBOSITY = {
     "debug": logging.DEBUG,
@@ -56,4 +56,12 @@
     handler.setFormatter(JsonFormatter(process))
     handler.python_handler.stream = stream
     logging.use_absl_handler()
+    set_verbosity(level)
+
+
+def set_verbosity(level: str) -> None:
+    """Sets which records are written.
+
+    :param level: ``debug``, ``info``, ``warning`` or ``error``.
+    """
     logging.set_verbosity(_VERBOSITY[level])
--- a/src/coltsfootspar/membership/service.py
+++ b/src/coltsfootspar/membership/service.py
@@ -72,6 +72,13 @@
             nursery.start_soon(self._synchronizer.run)
             nursery.start_soon(self._synchronizer.run_pieces)
 
+    def replace_seeds(self, seeds: Sequence[Address]) -> None:
+        """Sets the members through which it joins and comes back after a partition.
+
+        :param seeds: gossip addresses.
+        """
+        self._synchronizer.seeds = tuple(seeds)
+
     @property
     def own(self) -> Member:
         """The own node."""
--- a/src/coltsfootspar/membership/syncing.py
+++ b/src/coltsfootspar/membership/syncing.py
@@ -30,11 +30,14 @@
 
 @attrs.define(eq=False)
 class Synchronizer:
-    """Sends digests, and the members in buckets that differ."""
+    """Sends digests, and the members in buckets that differ.
+
+    :param seeds: gossip addresses through which the node joins.
+    """
 
     _view: View
     _transport: Transport
-    _seeds: tuple[Address, ...]
+    seeds: tuple[Address, ...]
     _jobs: list[_Job] = attrs.field(factory=list)
     _differs: bool = False
     _queued: trio.Event = attrs.field(factory=trio.Event)
@@ -79,7 +82,7 @@
 
     async def _join(self) -> None:
         own = self._view.roster.own.gossip_address
-        if all(seed == own for seed in self._seeds):
+        if all(seed == own for seed in self.seeds):
             self._view.is_synced = True
         while not self._view.is_synced:
             await self._ask_some()
@@ -112,7 +115,7 @@
         ]
         return dead + [
             seed
-            for seed in self._seeds
+            for seed in self.seeds
             if seed != own.gossip_address
             and (seed not in present or not self._view.is_synced)
         ]
--- a/src/coltsfootspar/relay/forwarding.py
+++ b/src/coltsfootspar/relay/forwarding.py
@@ -157,6 +157,10 @@
         for address in list(self._pools):
             self._pools[address].drop_idle(now)
 
+    def set_repeat_limits(self, ratio: float, fixed: float) -> None:
+        """Sets the budget of repeats; see :func:`create_repeat_budget`."""
+        self._budget.ratio, self._budget.fixed = ratio, fixed
+
     def forget_nodes(self, present: set[str]) -> None:
         """Drops what is known of nodes that are gone.
 
--- a/src/coltsfootspar/relay/repeats.py
+++ b/src/coltsfootspar/relay/repeats.py
@@ -52,11 +52,13 @@
 class RepeatBudget:
     """Counts the requests and repeats that this node sends to each service.
 
+    :param ratio: repeats for each request, over all nodes.
+    :param fixed: repeats that are allowed besides, over all nodes.
     :param nodes: nodes that share the fixed part.
     """
 
-    _ratio: float
-    _fixed: float
+    ratio: float
+    fixed: float
     _window_seconds: float
     nodes: int = 1
     _services: dict[str, _Window] = attrs.field(factory=dict)
@@ -72,12 +74,12 @@
         """
         window = self._get(service)
         requests = sum(window.requests)
-        fixed = self._fixed * _FIXED_SHARE / max(1, self.nodes)
-        allowed = self._ratio * (_UNRUN_SHARE + _RUN_SHARE) * requests + fixed
+        fixed = self.fixed * _FIXED_SHARE / max(1, self.nodes)
+        allowed = self.ratio * (_UNRUN_SHARE + _RUN_SHARE) * requests + fixed
         if sum(window.repeats) + 1 > allowed:
             return False
         if may_have_run:
-            if sum(window.reruns) + 1 > self._ratio * _RUN_SHARE * requests + fixed / 2:
+            if sum(window.reruns) + 1 > self.ratio * _RUN_SHARE * requests + fixed / 2:
                 return False
             window.reruns[-1] += 1
         window.repeats[-1] += 1
