Build replies and message heads in one place; prepare header names once

No change in behaviour. A reply was put together from a response twice, with the backend server's node and with the caller's; create_reply serves both. Whether a request can be sent again stood three times. The names of headers that a node replaces were collected, and united with others, for each request. The result of take_report was used nowhere.

--- a/src/coltsfootspar/relay/backend.py
+++ b/src/coltsfootspar/relay/backend.py
@@ -9,24 +9,17 @@
 from coltsfootspar.exceptions import RefusedError, TransferError
 from coltsfootspar.logs import log_decision
 from coltsfootspar.relay.calls import (
-    HOP_HEADERS,
     Call,
     HeaderNames,
     OutgoingCall,
     Reply,
     create_refusal,
+    create_reply,
     do_nothing,
 )
-from coltsfootspar.relay.client import (
-    IDLE_SECONDS,
-    ConnectionPool,
-)
+from coltsfootspar.relay.client import IDLE_SECONDS, ConnectionPool
 from coltsfootspar.relay.gate import SlotGate, create_slot_gate
-from coltsfootspar.relay.messages import (
-    Headers,
-    Response,
-    filter_headers,
-)
+from coltsfootspar.relay.messages import Headers, Response
 from coltsfootspar.relay.outgoing import encode_outgoing
 from coltsfootspar.wire import Address
 
@@ -101,20 +94,16 @@
         """Connections opened to the present backend server."""
         return self._pool.opened if self._pool is not None else 0
 
-    def take_report(self, report: BackendReport) -> bool:
-        """Takes a report.
-
-        :returns: false for one that is older than what is known.
-        """
+    def take_report(self, report: BackendReport) -> None:
+        """Takes a report, unless it is older than what is known."""
         if report.order <= self._newest:
-            is_repeated = report.order == self._newest
             log_decision(
                 "report-ignored",
                 instance=report.instance_id,
                 order=report.order,
                 known=self._newest,
             )
-            return is_repeated
+            return
         now = trio.current_time()
         previous = self.report
         self._newest = report.order
@@ -122,7 +111,7 @@
         if report.instance_id == self._departed and (
             previous is None or report.started_ms == previous.started_ms
         ):
-            return True
+            return
         self.report = report
         self._down_until = now
         if previous is None or previous.address != report.address:
@@ -143,7 +132,6 @@
                 order=report.order,
             )
             self._finish_change()
-        return True
 
     def take_departure(self, instance_id: str) -> None:
         """Takes the news that a backend server leaves; it gets no new work."""
@@ -219,7 +207,7 @@
                 encode_outgoing(outgoing, headers, self._names),
                 BUFFER_BYTES,
                 longest_idle=IDLE_SECONDS if call.is_idempotent else FRESH_SECONDS,
-                is_repeatable=call.is_idempotent and outgoing.stream is None,
+                is_repeatable=outgoing.is_repeatable,
             )
         except TransferError as error:
             return self._create_failure(outgoing, error)
@@ -227,24 +215,17 @@
         is_served = not is_not_run and response.status < _SERVER_ERROR
         seconds = trio.current_time() - start if is_served else None
 
-        async def read() -> bytes:
-            return await connection.read_body(response)
-
         def finish() -> None:
             pool.give_back(connection)
             self.gate.release(seconds)
 
-        return Reply(
-            response.status,
-            filter_headers(response, HOP_HEADERS),
-            response.take_body(),
+        return create_reply(
+            connection,
+            response,
             Outcome.NOT_RUN if is_not_run else Outcome.RAN,
-            response.reason,
-            "backend-shed" if is_not_run else "",
-            None if response.is_complete else read,
-            response.content_length,
-            self.gate.load,
-            finish,
+            error="backend-shed" if is_not_run else "",
+            load=self.gate.load,
+            finish=finish,
         )
 
     def _is_not_run(self, response: Response) -> bool:
--- a/src/coltsfootspar/relay/calls.py
+++ b/src/coltsfootspar/relay/calls.py
@@ -7,8 +7,8 @@
 
 from coltsfootspar.calls import Outcome
 from coltsfootspar.exceptions import MalformedRequestError
-from coltsfootspar.relay.client import StreamedBody
-from coltsfootspar.relay.messages import Headers
+from coltsfootspar.relay.client import ClientConnection, StreamedBody
+from coltsfootspar.relay.messages import Headers, Response, filter_headers
 
 __all__ = [
     "CALL_HEADER",
@@ -23,6 +23,7 @@
     "OutgoingCall",
     "Reply",
     "create_refusal",
+    "create_reply",
     "decode_call_header",
     "decode_load",
     "do_nothing",
@@ -34,7 +35,7 @@
 OUTCOME_HEADER = b"Coltsfootspar-Outcome"
 ERROR_HEADER = b"Coltsfootspar-Error"
 LOAD_HEADER = b"Coltsfootspar-Load"
-HOP_HEADERS = tuple(
+HOP_HEADERS = frozenset(
     name.lower() for name in (CALL_HEADER, OUTCOME_HEADER, ERROR_HEADER, LOAD_HEADER)
 )
 _SEPARATOR = b";"
@@ -51,6 +52,8 @@
         not run the request.
     :param caller: service on whose host the request began.
     :param instance: id of the backend server that has to answer.
+    :param replaced: lower-case names of headers that a node does not pass on as
+        they came, since it sets or answers them itself.
     """
 
     request_id: bytes = b"Coltsfootspar-Request"
@@ -58,6 +61,12 @@
     not_run: bytes = b"Coltsfootspar-Not-Run"
     caller: bytes = b"Coltsfootspar-Caller"
     instance: bytes = b"Coltsfootspar-Instance"
+    replaced: frozenset[bytes] = attrs.field(init=False)
+
+    @replaced.default
+    def _collect_replaced(self) -> frozenset[bytes]:
+        own = (b"Expect", self.deadline_ms, self.instance, self.caller)
+        return HOP_HEADERS.union(name.lower() for name in own)
 
 
 class Importance(enum.IntEnum):
@@ -151,6 +160,42 @@
     body: bytes | None
     stream: StreamedBody | None = None
 
+    @property
+    def is_repeatable(self) -> bool:
+        """True when it may run more than once and its body is at hand."""
+        return self.call.is_idempotent and self.stream is None
+
+
+def create_reply(
+    connection: ClientConnection,
+    response: Response,
+    outcome: Outcome,
+    *,
+    error: str = "",
+    load: Load | None = None,
+    finish: Callable[[], None],
+) -> Reply:
+    """Creates the reply from a response, whose body may still be arriving.
+
+    :param connection: where the rest of the body is read.
+    """
+
+    async def read() -> bytes:
+        return await connection.read_body(response)
+
+    return Reply(
+        response.status,
+        filter_headers(response, HOP_HEADERS),
+        response.take_body(),
+        outcome,
+        response.reason,
+        error,
+        None if response.is_complete else read,
+        response.content_length,
+        load,
+        finish,
+    )
+
 
 def create_refusal(
     error: str,
--- a/src/coltsfootspar/relay/forwarding.py
+++ b/src/coltsfootspar/relay/forwarding.py
@@ -14,7 +14,6 @@
 from coltsfootspar.relay.calls import (
     CALL_HEADER,
     ERROR_HEADER,
-    HOP_HEADERS,
     LOAD_HEADER,
     OUTCOME_HEADER,
     Call,
@@ -23,11 +22,12 @@
     OutgoingCall,
     Reply,
     create_refusal,
+    create_reply,
     decode_load,
     encode_call_header,
 )
 from coltsfootspar.relay.client import ClientConnection, ConnectionPool, OutgoingRequest
-from coltsfootspar.relay.messages import Response, filter_headers
+from coltsfootspar.relay.messages import Response
 from coltsfootspar.relay.outgoing import create_outgoing, encode_outgoing
 from coltsfootspar.relay.placement import Placement
 from coltsfootspar.relay.receiving import deliver
@@ -86,7 +86,8 @@
     :param failed: requests that failed for another reason.
     :param begun: calls of requests that the own backend server has begun.
     :param repeats: calls that were sent to a second backend server.
-    :param seconds: time to the answer of served requests, seconds.
+    :param observe_seconds: takes the time to the answer of each served request,
+        seconds.
     """
 
     served: int = 0
@@ -251,8 +252,9 @@
         trial.may_have_run = True
         if reply.outcome is Outcome.RAN and reply.read is None:
             trial.failure = reply
-        can_repeat = route.is_idempotent and outgoing.stream is None
-        return not (can_repeat and self._may_repeat(route, outgoing.call, trial))
+        return not (
+            outgoing.is_repeatable and self._may_repeat(route, outgoing.call, trial)
+        )
 
     def _may_repeat(self, route: Route, call: Call, trial: _Trial) -> bool:
         return (
@@ -316,7 +318,7 @@
             connection, response = await pool.exchange(
                 self._encode(outgoing),
                 BUFFER_BYTES,
-                is_repeatable=outgoing.call.is_idempotent and outgoing.stream is None,
+                is_repeatable=outgoing.is_repeatable,
             )
         except TransferError as error:
             log_decision(
@@ -391,21 +393,13 @@
     pool: ConnectionPool, connection: ClientConnection, response: Response
 ) -> Reply:
     outcome = response.find(OUTCOME_HEADER.lower())
-
-    async def read() -> bytes:
-        return await connection.read_body(response)
-
-    return Reply(
-        response.status,
-        filter_headers(response, HOP_HEADERS),
-        response.take_body(),
+    return create_reply(
+        connection,
+        response,
         Outcome(outcome.decode()) if outcome else Outcome.MAY_HAVE_RUN,
-        response.reason,
-        (response.find(ERROR_HEADER.lower()) or b"").decode(),
-        None if response.is_complete else read,
-        response.content_length,
-        decode_load(response.find(LOAD_HEADER.lower())),
-        lambda: pool.give_back(connection),
+        error=(response.find(ERROR_HEADER.lower()) or b"").decode(),
+        load=decode_load(response.find(LOAD_HEADER.lower())),
+        finish=lambda: pool.give_back(connection),
     )
 
 
--- a/src/coltsfootspar/relay/messages.py
+++ b/src/coltsfootspar/relay/messages.py
@@ -2,7 +2,6 @@
 
 import collections
 import http
-from collections.abc import Iterable
 
 import attrs
 import httptools
@@ -215,20 +214,19 @@
             last.keeps_connection = False
 
 
-def filter_headers(message: _Message, drop: Iterable[bytes] = ()) -> Headers:
+def filter_headers(message: _Message, drop: frozenset[bytes]) -> Headers:
     """Returns the headers that concern more than one connection.
 
     :param drop: further lower-case names to leave out.
     """
-    excluded = _CONNECTION_HEADERS
     named = message.index.get(b"connection")
-    if drop or named:
-        excluded = excluded.union(drop)
-        if named:
-            excluded = excluded.union(
-                part.strip().lower() for part in named.split(b",")
-            )
-    return [pair for pair in message.headers if pair[0].lower() not in excluded]
+    if named:
+        drop = drop.union(part.strip().lower() for part in named.split(b","))
+    return [
+        pair
+        for pair in message.headers
+        if (key := pair[0].lower()) not in _CONNECTION_HEADERS and key not in drop
+    ]
 
 
 def encode_request(
@@ -239,11 +237,7 @@
     :param headers: with the framing of the body when that follows later.
     :param body: None for a request without a body or one whose body follows.
     """
-    lines = [b"%s %s HTTP/1.1" % (method, target)]
-    lines += [b"%s: %s" % pair for pair in headers]
-    if body is not None:
-        lines.append(b"Content-Length: %d" % len(body))
-    return b"\r\n".join(lines) + b"\r\n\r\n" + (body or b"")
+    return _encode(b"%s %s HTTP/1.1" % (method, target), headers, body)
 
 
 def encode_response(
@@ -255,8 +249,11 @@
     :param body: None when the body follows or cannot be.
     """
     reason = reason or _REASONS.get(status, b"Unknown")
-    lines = [b"HTTP/1.1 %d %s" % (status, reason)]
-    lines += [b"%s: %s" % pair for pair in headers]
+    return _encode(b"HTTP/1.1 %d %s" % (status, reason), headers, body)
+
+
+def _encode(start: bytes, headers: Headers, body: bytes | None) -> bytes:
+    lines = [start, *(b"%s: %s" % pair for pair in headers)]
     if body is not None:
         lines.append(b"Content-Length: %d" % len(body))
     return b"\r\n".join(lines) + b"\r\n\r\n" + (body or b"")
--- a/src/coltsfootspar/relay/outgoing.py
+++ b/src/coltsfootspar/relay/outgoing.py
@@ -1,6 +1,6 @@
 """Requests on their way to another node or to the backend server."""
 
-from coltsfootspar.relay.calls import HOP_HEADERS, Call, HeaderNames, OutgoingCall
+from coltsfootspar.relay.calls import Call, HeaderNames, OutgoingCall
 from coltsfootspar.relay.client import OutgoingRequest, StreamedBody
 from coltsfootspar.relay.messages import Headers, encode_request, filter_headers
 from coltsfootspar.relay.server import Exchange
@@ -23,9 +23,7 @@
     request = exchange.request
     if not request.is_complete:
         await exchange.buffer_body(BODY_BYTES)
-    own = (names.deadline_ms, names.instance, names.caller)
-    drop = (*HOP_HEADERS, b"expect", *(name.lower() for name in own))
-    headers = filter_headers(request, drop)
+    headers = filter_headers(request, names.replaced)
     body, stream = None, None
     if request.is_complete:
         body = request.take_body() if request.has_body else None
--- a/src/coltsfootspar/relay/server.py
+++ b/src/coltsfootspar/relay/server.py
@@ -360,17 +360,19 @@
         """Reads no more requests and waits for those in progress."""
         self.is_draining = self.is_closing = True
         self.close_idle()
-        # Exchanges are many and short, and have no event for the last one.
-        while self.exchanges:  # noqa: ASYNC110
-            await trio.sleep(CHECK_SECONDS)
+        await self._wait_until_answered(CHECK_SECONDS)
 
     async def answer_rest(self) -> None:
         """Answers the requests in progress as if their deadlines had passed."""
         for exchange in self.exchanges:
             exchange.scope.cancel()
         with trio.move_on_after(_LAST_ANSWERS_SECONDS):
-            while self.exchanges:  # noqa: ASYNC110
-                await trio.sleep(_LAST_ANSWERS_SECONDS / 10)
+            await self._wait_until_answered(_LAST_ANSWERS_SECONDS / 10)
+
+    async def _wait_until_answered(self, period: float) -> None:
+        # Exchanges are many and short, and have no event for the last one.
+        while self.exchanges:  # noqa: ASYNC110
+            await trio.sleep(period)
 
     def close_idle(self) -> None:
         """Closes the connections on which no request has begun."""
--- a/src/coltsfootspar/relay/sockets.py
+++ b/src/coltsfootspar/relay/sockets.py
@@ -105,7 +105,7 @@
         try:
             sock, (host, _) = listener.accept()
         except (BlockingIOError, ConnectionAbortedError):
-            await trio.lowlevel.wait_readable(listener)
+            await wait_readable(listener)
         else:
             _set_options(sock)
             return sock, host
@@ -120,7 +120,7 @@
         try:
             return sock.recv(_RECEIVE_BYTES)
         except BlockingIOError:
-            await trio.lowlevel.wait_readable(sock)
+            await wait_readable(sock)
         except OSError as error:
             raise TransferError(str(error), may_have_run=True, code="reset") from error
 
