--- a/src/coltsfootspar/fleet/common.py
+++ b/src/coltsfootspar/fleet/common.py
@@ -10,41 +10,41 @@
 from coltsfootspar.membership import Membership, NodeIdentity, create_membership
 from coltsfootspar.membership.ports import UdpPort
 from coltsfootspar.relay import Exchange
-from coltsfootspar.settings.fleet import FleetNodeSettings, FleetReplicaSettings
+from coltsfootspar.settings.fleet import FleetSettings
 from coltsfootspar.timers import TimerService
 from coltsfootspar.wire import Address, Identity
 
 __all__ = [
     "DEPLOYMENT",
-    "STOP_SIGNALS",
+    "HANDLED_SIGNALS",
     "create_fleet_identity",
     "create_fleet_membership",
     "create_metrics_handler",
-    "get_peer_address",
     "list_gossip_seeds",
+    "list_peer_seeds",
     "wait_for_stop",
 ]
 
 DEPLOYMENT = "coltsfootspar"
-STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+HANDLED_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 _METRICS_TYPE = [(b"Content-Type", b"text/plain; version=0.0.4")]
 
-Settings = FleetNodeSettings | FleetReplicaSettings
 
-
-def create_fleet_identity(settings: Settings, process_id: str, role: str) -> Identity:
+def create_fleet_identity(
+    settings: FleetSettings, process_id: str, role: str
+) -> Identity:
     """Creates the identity of a process on internal connections."""
     key = bytes.fromhex(settings.shared_key)
     return Identity(DEPLOYMENT, process_id, role, key)
 
 
-def get_peer_address(settings: Settings, seed: Address) -> Address:
-    """Returns where the process at a seed serves the internal protocol."""
-    return Address(seed.host, settings.peer_port)
+def list_peer_seeds(settings: FleetSettings) -> list[Address]:
+    """Lists where the processes at the seeds serve the internal protocol."""
+    return [Address(seed.host, settings.peer_port) for seed in settings.seeds]
 
 
 def create_fleet_membership(
-    settings: Settings,
+    settings: FleetSettings,
     port: UdpPort,
     peer_address: Address,
     timers: TimerService,
@@ -68,7 +68,7 @@
     )
 
 
-def list_gossip_seeds(settings: Settings) -> list[Address]:
+def list_gossip_seeds(settings: FleetSettings) -> list[Address]:
     """Lists the gossip addresses of the seeds on other hosts."""
     return [
         Address(seed.host, settings.gossip_port)
--- a/src/coltsfootspar/fleet/control.py
+++ b/src/coltsfootspar/fleet/control.py
@@ -24,8 +24,7 @@
 PROPOSAL_SECONDS = 2.5
 READ_SECONDS = 1.5
 _JSON = [(b"Content-Type", b"application/json")]
-_STATUSES = {
-    ChangeStatus.APPLIED: 200,
+_ERROR_STATUSES = {
     ChangeStatus.CONFLICT: 412,
     ChangeStatus.INVALID: 400,
 }
@@ -139,7 +138,7 @@
         )
         if result.status is ChangeStatus.APPLIED:
             return ControlAnswer(200)
-        return create_error_answer(_STATUSES[result.status], result.message)
+        return create_error_answer(_ERROR_STATUSES[result.status], result.message)
 
     async def _read(self) -> ControlAnswer:
         table = await self._client.read_routes(READ_SECONDS)
--- a/src/coltsfootspar/fleet/metrics.py
+++ b/src/coltsfootspar/fleet/metrics.py
@@ -21,31 +21,30 @@
 
     _registry: Registry
     seconds: Histogram
-    _values: dict[str, Callable[[], float]] = attrs.field(factory=dict)
-    _collectors: dict[str, Counter | Gauge] = attrs.field(factory=dict)
+    _values: list[tuple[Counter | Gauge, Callable[[], float]]] = attrs.field(
+        factory=list
+    )
 
     def add_counter(self, name: str, help_text: str, read: Callable[[], float]) -> None:
         """Adds a counter that is kept elsewhere."""
-        self._add(Counter(name, help_text, registry=self._registry), name, read)
+        collector = Counter(name, help_text, registry=self._registry)
+        self._values.append((collector, read))
 
     def add_gauge(self, name: str, help_text: str, read: Callable[[], float]) -> None:
         """Adds a value that goes up and down."""
-        self._add(Gauge(name, help_text, registry=self._registry), name, read)
+        collector = Gauge(name, help_text, registry=self._registry)
+        self._values.append((collector, read))
 
     def render(self) -> bytes:
         """Returns the page."""
-        for name, read in self._values.items():
-            self._collectors[name].set({}, read())
+        for collector, read in self._values:
+            collector.set({}, read())
         return text.encode(self._registry)
 
     def observe_seconds(self, seconds: float) -> None:
         """Records the time to the answer of a served request."""
         self.seconds.observe({}, seconds)
 
-    def _add(self, collector: Counter | Gauge, name: str, read) -> None:
-        self._collectors[name] = collector
-        self._values[name] = read
-
 
 def create_fleet_metrics() -> FleetMetrics:
     """Creates an empty page."""
--- a/src/coltsfootspar/fleet/node.py
+++ b/src/coltsfootspar/fleet/node.py
@@ -9,12 +9,12 @@
 from absl import logging
 
 from coltsfootspar.fleet.common import (
-    STOP_SIGNALS,
+    HANDLED_SIGNALS,
     create_fleet_identity,
     create_fleet_membership,
     create_metrics_handler,
-    get_peer_address,
     list_gossip_seeds,
+    list_peer_seeds,
     wait_for_stop,
 )
 from coltsfootspar.fleet.control import NodeControl, create_control_handler
@@ -22,7 +22,7 @@
 from coltsfootspar.fleet.metrics import FleetMetrics, create_fleet_metrics
 from coltsfootspar.fleet.reloading import SettingsFile
 from coltsfootspar.fleet.routecopy import RouteCopy, create_route_copy
-from coltsfootspar.fleet.seats import SEAT_SERVICE, name_seats
+from coltsfootspar.fleet.seats import SEAT_SERVICE, create_seat_map, name_seats
 from coltsfootspar.membership import Membership, open_udp_port
 from coltsfootspar.relay import (
     BackendServer,
@@ -79,9 +79,7 @@
         if holders:
             return max(holders, key=lambda member: member.incarnation).peer_address
         # Before anything is known, the seats are at the seeds of the first start.
-        seats = name_seats(len(self._settings.seeds))
-        seeds = sorted(self._settings.seeds, key=str)
-        return get_peer_address(self._settings, seeds[seats.index(seat)])
+        return create_seat_map(list_peer_seeds(self._settings)).find(seat)
 
 
 @attrs.define(eq=False)
@@ -209,14 +207,13 @@
     """Runs a node until SIGTERM or SIGINT.
 
     :param file: with the settings of a node.
-
     :returns: exit code; 0 when no request was cut.
     :raises OSError: when an address cannot be listened on.
     """
     settings = file.settings
     async with open_udp_port(Address(settings.host, settings.gossip_port)) as port:
         node = _create_node(file, dialect, port)
-        with trio.open_signal_receiver(*STOP_SIGNALS) as signals:
+        with trio.open_signal_receiver(*HANDLED_SIGNALS) as signals:
             return await node.run(
                 functools.partial(wait_for_stop, signals, file.reload)
             )
--- a/src/coltsfootspar/fleet/reloading.py
+++ b/src/coltsfootspar/fleet/reloading.py
@@ -8,7 +8,7 @@
 
 from coltsfootspar.exceptions import SettingsError
 from coltsfootspar.logs import log_decision, set_verbosity
-from coltsfootspar.settings.fleet import FleetNodeSettings, FleetReplicaSettings
+from coltsfootspar.settings.fleet import FleetSettings
 from coltsfootspar.timers import TimerService
 
 __all__ = ["SettingsFile", "open_settings"]
@@ -17,8 +17,6 @@
 # What takes effect without a restart.
 _LIVE_FIELDS = frozenset({"bounds", "log_level", "seeds"})
 
-Settings = FleetNodeSettings | FleetReplicaSettings
-
 
 @attrs.define(eq=False)
 class SettingsFile:
@@ -29,20 +27,20 @@
     """
 
     path: str
-    settings: Settings
-    on_change: Callable[[Settings], None] = lambda settings: None
-    _load: Callable[[str], Settings] = attrs.field(kw_only=True)
+    settings: FleetSettings
+    on_change: Callable[[FleetSettings], None] = lambda settings: None
+    _load: Callable[[str], FleetSettings] = attrs.field(kw_only=True)
     _modified_ns: int = attrs.field(kw_only=True)
 
     async def follow(self, timers: TimerService) -> None:
         """Looks for changes until cancelled; the file may change without a signal."""
         async for _ in timers.subscribe(CHECK_PERIOD):
-            if self._read_modified_ns() != self._modified_ns:
+            if _read_modified_ns(self.path) != self._modified_ns:
                 self.reload()
 
     def reload(self) -> None:
         """Reads the file again; settings with a fault are logged and not taken."""
-        self._modified_ns = self._read_modified_ns()
+        self._modified_ns = _read_modified_ns(self.path)
         try:
             settings = self._load(self.path)
         except SettingsError as error:
@@ -61,11 +59,8 @@
         set_verbosity(self.settings.log_level)
         self.on_change(self.settings)
 
-    def _read_modified_ns(self) -> int:
-        return _read_modified_ns(self.path)
-
 
-def _list_changed(old: Settings, new: Settings) -> list[str]:
+def _list_changed(old: FleetSettings, new: FleetSettings) -> list[str]:
     names = [field.name for field in attrs.fields(type(old))]
     return [name for name in names if getattr(old, name) != getattr(new, name)]
 
@@ -74,11 +69,11 @@
     try:
         return os.stat(path).st_mtime_ns
     except OSError as error:
-        logging.warning("Settings file not found: %s", error)
+        logging.warning("FleetSettings file not found: %s", error)
         return 0
 
 
-def open_settings(path: str, load: Callable[[str], Settings]) -> SettingsFile:
+def open_settings(path: str, load: Callable[[str], FleetSettings]) -> SettingsFile:
     """Reads and checks a settings file.
 
     :param load: reads the settings of the program.
--- a/src/coltsfootspar/fleet/replica.py
+++ b/src/coltsfootspar/fleet/replica.py
@@ -12,12 +12,12 @@
 from coltsfootspar.exceptions import ColtsfootsparError, FrameError
 from coltsfootspar.fleet.common import (
     DEPLOYMENT,
-    STOP_SIGNALS,
+    HANDLED_SIGNALS,
     create_fleet_identity,
     create_fleet_membership,
     create_metrics_handler,
-    get_peer_address,
     list_gossip_seeds,
+    list_peer_seeds,
     wait_for_stop,
 )
 from coltsfootspar.fleet.control import ReplicaControl, create_control_handler
@@ -212,8 +212,7 @@
             await load_identity(disk, seat, self._random)
         except ColtsfootsparError:
             # Left by an offer of another seat that led to no admission.
-            for name in await disk.list_files():
-                await disk.remove(name)
+            await _remove_files(disk)
 
     async def _ask_for_seat(self) -> JoinReply | None:
         """Asks all known processes, and then the leader, for a seat."""
@@ -245,7 +244,7 @@
             return None
 
     def _list_addresses(self) -> list[Address]:
-        found = [get_peer_address(self.settings, s) for s in self.settings.seeds]
+        found = list_peer_seeds(self.settings)
         found += [parse_address(text) for text in self.seats.addresses.values()]
         found += [
             member.peer_address
@@ -267,8 +266,7 @@
 
     async def _clear_folder(self) -> None:
         async with self._open_disk() as disk:
-            for name in await disk.list_files():
-                await disk.remove(name)
+            await _remove_files(disk)
             await disk.sync_folder()
 
     async def _hold_seat(self, seat: str) -> None:
@@ -365,6 +363,11 @@
                 raise _SeatLostError
 
 
+async def _remove_files(disk: Disk) -> None:
+    for name in await disk.list_files():
+        await disk.remove(name)
+
+
 async def _refuse_call(request):
     raise FrameError("replicas serve no calls")
 
@@ -373,7 +376,6 @@
     """Runs the process of a host with a disk until SIGTERM or SIGINT.
 
     :param file: with the settings of a replica.
-
     :returns: exit code.
     :raises OSError: when an address cannot be listened on.
     """
@@ -383,12 +385,10 @@
     own = Address(settings.host, settings.peer_port)
     async with open_udp_port(Address(settings.host, settings.gossip_port)) as port:
         membership = create_fleet_membership(settings, port, own, timers, source)
-        peers = [get_peer_address(settings, seed) for seed in settings.seeds]
-        process = FleetReplica(
-            settings, dialect, membership, timers, create_seat_map(peers), source
-        )
+        seats = create_seat_map(list_peer_seeds(settings))
+        process = FleetReplica(settings, dialect, membership, timers, seats, source)
         file.on_change = process.apply_settings
-        with trio.open_signal_receiver(*STOP_SIGNALS) as signals:
+        with trio.open_signal_receiver(*HANDLED_SIGNALS) as signals:
             stop = functools.partial(wait_for_stop, signals, file.reload)
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(file.follow, timers)
--- a/src/coltsfootspar/settings/fleet.py
+++ b/src/coltsfootspar/settings/fleet.py
@@ -1,20 +1,18 @@
 """Settings of the programs on hosts that find each other through seeds."""
 
-import pathlib
-
 import attrs
 import cattrs
-import jsonc
 
 from coltsfootspar.exceptions import SettingsError
-from coltsfootspar.settings.loading import structure_address
-from coltsfootspar.settings.model import KEY
+from coltsfootspar.settings.loading import read_settings_file, structure_address
+from coltsfootspar.settings.model import require_key
 from coltsfootspar.wire import Address
 
 __all__ = [
     "FleetBounds",
     "FleetNodeSettings",
     "FleetReplicaSettings",
+    "FleetSettings",
     "load_fleet_node_settings",
     "load_fleet_replica_settings",
 ]
@@ -25,11 +23,6 @@
         raise ValueError(f"{field.name}: {value!r} is not above 0")
 
 
-def _check_key(instance: object, field: attrs.Attribute, value: str) -> None:
-    if not KEY.fullmatch(value):
-        raise ValueError(f"{field.name}: not at least 32 hexadecimal digits")
-
-
 @attrs.frozen(kw_only=True)
 class FleetBounds:
     """Times and budgets that the operators set for the deployment.
@@ -63,7 +56,7 @@
     region: str
     data_centre: str
     seeds: tuple[Address, ...]
-    shared_key: str = attrs.field(repr=False, validator=_check_key)
+    shared_key: str = attrs.field(repr=False, validator=require_key)
     control: Address
     peer_port: int
     gossip_port: int
@@ -100,18 +93,16 @@
     is_first_start: bool
 
 
+FleetSettings = FleetNodeSettings | FleetReplicaSettings
+
 _converter = cattrs.Converter(detailed_validation=True)
 _converter.register_structure_hook(Address, structure_address)
 
 
 def _load(path: str, model: type) -> object:
+    content = read_settings_file(path)
     try:
-        content = jsonc.loads(pathlib.Path(path).read_text(encoding="utf-8"))
         return _converter.structure(content, model)
-    except OSError as error:
-        raise SettingsError([f"{path}: {error.strerror}"]) from error
-    except ValueError as error:
-        raise SettingsError([f"{path}: {error}"]) from error
     except cattrs.BaseValidationError as error:
         raise SettingsError(cattrs.transform_error(error, path="settings")) from error
 
--- a/src/coltsfootspar/settings/loading.py
+++ b/src/coltsfootspar/settings/loading.py
@@ -19,6 +19,8 @@
     "load_replica_settings",
     "load_settings",
     "parse_settings",
+    "read_settings_file",
+    "structure_address",
 ]
 
 S = TypeVar("S", NodeSettings, ReplicaSettings)
@@ -30,7 +32,7 @@
     :param path: file in JSON with comments; a ``node`` block marks a node's.
     :raises SettingsError: with all problems of the file.
     """
-    content = _read_file(path)
+    content = read_settings_file(path)
     model = NodeSettings if "node" in content else ReplicaSettings
     return parse_settings(content, model)
 
@@ -40,7 +42,7 @@
 
     :raises SettingsError: with all problems of the file.
     """
-    return parse_settings(_read_file(path), NodeSettings)
+    return parse_settings(read_settings_file(path), NodeSettings)
 
 
 def load_replica_settings(path: str) -> ReplicaSettings:
@@ -48,7 +50,7 @@
 
     :raises SettingsError: with all problems of the file.
     """
-    return parse_settings(_read_file(path), ReplicaSettings)
+    return parse_settings(read_settings_file(path), ReplicaSettings)
 
 
 def parse_settings(content: dict[str, Any], model: type[S]) -> S:
@@ -74,7 +76,11 @@
     return settings
 
 
-def _read_file(path: str) -> dict[str, Any]:
+def read_settings_file(path: str) -> dict[str, Any]:
+    """Reads a file in JSON with comments.
+
+    :raises SettingsError: when it cannot be read or holds no object.
+    """
     try:
         content = jsonc.loads(pathlib.Path(path).read_text(encoding="utf-8"))
     except OSError as error:
@@ -150,6 +156,11 @@
 
 
 def structure_address(value: Any, _: type) -> Address:
+    """Converts ``IP:PORT``.
+
+    :raises TypeError: when the value is no text.
+    :raises ValueError: when the text is no address.
+    """
     if not isinstance(value, str):
         raise TypeError(f"{value!r} is not IP:PORT")
     try:
--- a/src/coltsfootspar/settings/model.py
+++ b/src/coltsfootspar/settings/model.py
@@ -23,10 +23,11 @@
     "ReplicaSettings",
     "TlsSettings",
     "TraceSettings",
+    "require_key",
 ]
 
 _NAME = re.compile(r"[a-z0-9][a-z0-9.-]{0,62}")
-KEY = re.compile(r"(?:[0-9a-fA-F]{2}){16,}")
+_KEY = re.compile(r"(?:[0-9a-fA-F]{2}){16,}")
 _REPLICA_COUNTS = (1, 3, 5, 7)
 _DEFAULT_NODE_ADMIN = Address("127.0.0.1", 7400)
 _DEFAULT_REPLICA_ADMIN = Address("127.0.0.1", 7401)
@@ -57,8 +58,12 @@
         )
 
 
-def _require_key(_: Any, __: attrs.Attribute, value: str) -> None:
-    if not KEY.fullmatch(value):
+def require_key(_: Any, __: attrs.Attribute, value: str) -> None:
+    """Checks a secret.
+
+    :raises ValueError: when it is not at least 32 hexadecimal digits.
+    """
+    if not _KEY.fullmatch(value):
         raise ValueError("is not at least 32 hexadecimal digits")
 
 
@@ -254,7 +259,7 @@
     """
 
     deployment: str = attrs.field(validator=_require_name)
-    shared_key: str = attrs.field(validator=_require_key, repr=False)
+    shared_key: str = attrs.field(validator=require_key, repr=False)
     node: NodeIdentity
     listen: NodeListeners
     replicas: tuple[ReplicaMember, ...] = attrs.field(validator=_require_replica_count)
@@ -275,7 +280,7 @@
     """Settings of ``coltsfootspar-replica``."""
 
     deployment: str = attrs.field(validator=_require_name)
-    shared_key: str = attrs.field(validator=_require_key, repr=False)
+    shared_key: str = attrs.field(validator=require_key, repr=False)
     replica: ReplicaBlock
     listen: ReplicaListeners
     replicas: tuple[ReplicaMember, ...] = attrs.field(validator=_require_replica_count)
--- a/src/coltsfootspar/wire/replication/commands.py
+++ b/src/coltsfootspar/wire/replication/commands.py
@@ -248,7 +248,7 @@
     return tuple(entries)
 
 
-# Results, history, table, claims
+# Results and history
 
 
 def fill_change_result(builder: Any, result: ChangeResult) -> None:
--- a/src/coltsfootspar/wire/replication/messages.py
+++ b/src/coltsfootspar/wire/replication/messages.py
@@ -78,6 +78,9 @@
 ]
 
 
+# Messages between replicas
+
+
 def encode_vote(kind: FrameKind, request: VoteRequest) -> Message:
     """Encodes a vote request as a message of ``VOTE`` or ``PRE_VOTE``."""
     payload = SCHEMA.VoteRequest.new_message(
--- a/src/coltsfootspar/wire/replication/state.py
+++ b/src/coltsfootspar/wire/replication/state.py
@@ -189,6 +189,3 @@
         return name, _ITEM_READERS[name](getattr(reader, name))
 
     return decode_payload(SCHEMA.SnapshotItem, data, read)
-
-
-# Messages between replicas
