--- a/src/coltsfootspar/fleet/reloading.py
+++ b/src/coltsfootspar/fleet/reloading.py
@@ -69,7 +69,7 @@
     try:
         return os.stat(path).st_mtime_ns
     except OSError as error:
-        logging.warning("FleetSettings file not found: %s", error)
+        logging.warning("Settings file not found: %s", error)
         return 0
 
 
