Refuse settings with an unknown log level

Cause: the level of the fleet's settings was not checked, so a changed file with an unknown one ended a running process with a KeyError instead of being kept out. The check of the other programs' settings serves here too. The test failed before.

--- a/src/coltsfootspar/fleet/tests/test_reloading.py
+++ b/src/coltsfootspar/fleet/tests/test_reloading.py
@@ -62,6 +62,8 @@
     file.on_change = seen.append
     write(peer_port="none")
     file.reload()
+    write(log_level="loud")
+    file.reload()
     (tmp_path / "settings.jsonc").unlink()
     file.reload()
     assert seen == []
--- a/src/coltsfootspar/settings/fleet.py
+++ b/src/coltsfootspar/settings/fleet.py
@@ -5,7 +5,7 @@
 
 from coltsfootspar.exceptions import SettingsError
 from coltsfootspar.settings.loading import read_settings_file, structure_address
-from coltsfootspar.settings.model import require_key
+from coltsfootspar.settings.model import LOG_LEVELS, require_choice, require_key
 from coltsfootspar.wire import Address
 
 __all__ = [
@@ -61,7 +61,7 @@
     peer_port: int
     gossip_port: int
     metrics_port: int
-    log_level: str = "info"
+    log_level: str = attrs.field(default="info", validator=require_choice(*LOG_LEVELS))
     bounds: FleetBounds = attrs.field(factory=FleetBounds)
 
 
--- a/src/coltsfootspar/settings/model.py
+++ b/src/coltsfootspar/settings/model.py
@@ -9,6 +9,7 @@
 from coltsfootspar.wire import Address
 
 __all__ = [
+    "LOG_LEVELS",
     "BackendSettings",
     "ClaimSettings",
     "HttpSettings",
@@ -23,9 +24,11 @@
     "ReplicaSettings",
     "TlsSettings",
     "TraceSettings",
+    "require_choice",
     "require_key",
 ]
 
+LOG_LEVELS = ("debug", "info", "warning", "error")
 _NAME = re.compile(r"[a-z0-9][a-z0-9.-]{0,62}")
 _KEY = re.compile(r"(?:[0-9a-fA-F]{2}){16,}")
 _REPLICA_COUNTS = (1, 3, 5, 7)
@@ -43,7 +46,9 @@
     return check
 
 
-def _require_choice(*choices: str) -> Validator:
+def require_choice(*choices: str) -> Validator:
+    """Creates a check that a value is one of some choices."""
+
     def check(_: Any, __: attrs.Attribute, value: str) -> None:
         if value not in choices:
             raise ValueError(f"{value!r} is not one of {', '.join(choices)}")
@@ -164,10 +169,10 @@
     """
 
     server: str = attrs.field(
-        default="h11", validator=_require_choice("h11", "hypercorn")
+        default="h11", validator=require_choice("h11", "hypercorn")
     )
     client: str = attrs.field(
-        default="h11", validator=_require_choice("h11", "httpcore")
+        default="h11", validator=require_choice("h11", "httpcore")
     )
 
 
@@ -201,9 +206,7 @@
 class LogSettings:
     """Logs on standard error, one JSON object a line."""
 
-    level: str = attrs.field(
-        default="info", validator=_require_choice("debug", "info", "warning", "error")
-    )
+    level: str = attrs.field(default="info", validator=require_choice(*LOG_LEVELS))
 
 
 @attrs.frozen(kw_only=True)
