Bound responses and requests that never end

A backend server in trouble may send bytes that are no answer until its caller closes. The node read status lines, headers, interim responses, trailers, chunk sizes and chunk extensions of any length, kept headers and trailers in memory, and ended the request only at its timeout. A streamed body without end was passed on for as long as the caller read.

A response head may now have 64 KiB and 16 interim responses before it; bytes outside of a head that bring no body are limited to 64 KiB in both directions. Beyond that the connection is closed and the call ends as "may have run". A streamed body is broken off 0.5 s after the deadline that the caller gave.

--- a/src/coltsfootspar/relay/client.py
+++ b/src/coltsfootspar/relay/client.py
@@ -39,6 +39,8 @@
 # can be sent completely before the response is read.
 _INLINE_REQUEST_BYTES = 16_384
 _FIRST_FINAL_STATUS = 200
+MAX_RESPONSE_HEAD_BYTES = 65_536
+MAX_INTERIM_RESPONSES = 16
 
 
 @attrs.frozen
@@ -173,11 +175,18 @@
         self, request: OutgoingRequest, buffer_bytes: int
     ) -> Response:
         messages = self._reader.messages
+        interim_responses = 0
         while True:
             while not messages or not messages[0].has_head:
                 await self._read_more(None)
             response = messages.popleft()
             if response.status < _FIRST_FINAL_STATUS:
+                interim_responses += 1
+                if interim_responses > MAX_INTERIM_RESPONSES:
+                    text = "too many interim responses"
+                    raise TransferError(
+                        text, may_have_run=True, code="malformed-response"
+                    )
                 continue
             self.has_response_started = True
             if request.is_head:
@@ -201,6 +210,8 @@
                 self._reader.feed(data)
             else:
                 self._reader.feed_eof()
+            if self._reader.head_bytes > MAX_RESPONSE_HEAD_BYTES:
+                raise MalformedRequestError("the response head exceeds the limit")
         except MalformedRequestError as error:
             self.must_close = True
             if response is None or not response.is_complete:
--- a/src/coltsfootspar/relay/forwarding.py
+++ b/src/coltsfootspar/relay/forwarding.py
@@ -42,6 +42,8 @@
 
 # How long after the deadline the reply of another node may still arrive.
 PEER_GRACE_SECONDS = 0.1
+# How long after the caller's deadline a body may still be streamed to it.
+STREAMING_GRACE_SECONDS = 0.5
 # Most nodes that one request is sent to. Outside the retry budget, another node is
 # tried only if the last one reported that the call has not run.
 MAX_NODES_PER_REQUEST = 4
@@ -234,6 +236,8 @@
             if not self._is_final(route, outgoing, state, reply):
                 return True
             exchange.clear_deadline()
+            if reply.read is not None:
+                self._limit_streaming(exchange)
             if reply.outcome is Outcome.RAN:
                 self.counters.served += 1
                 elapsed = trio.current_time() - exchange.request.arrived_at
@@ -243,6 +247,17 @@
         finally:
             reply.finish()
 
+    def _limit_streaming(self, exchange: Exchange) -> None:
+        """Breaks off a body that has not ended soon after its caller's deadline.
+
+        The timeout of the route does not end a response that is being delivered.
+        """
+        request = exchange.request
+        remaining = parse_milliseconds(request.find(self._names.deadline_ms.lower()))
+        if remaining is not None:
+            deadline = request.arrived_at + remaining + STREAMING_GRACE_SECONDS
+            exchange.set_deadline(deadline)
+
     def _is_final(
         self, route: Route, outgoing: OutgoingCall, state: _RequestState, reply: Reply
     ) -> bool:
--- a/src/coltsfootspar/relay/messages.py
+++ b/src/coltsfootspar/relay/messages.py
@@ -38,6 +38,9 @@
 _REASONS = {status.value: status.phrase.encode() for status in http.HTTPStatus}
 _NO_BODY_STATUSES = frozenset({204, 304})
 _FIRST_FINAL_STATUS = 200
+# Most bytes of chunk sizes, chunk extensions, trailers or blank lines in a row. A peer
+# that sends more of them never reaches the end of its message.
+MAX_FRAMING_BYTES = 65_536
 
 
 @attrs.define(eq=False)
@@ -118,11 +121,15 @@
 
     :param messages: messages that have started to arrive, oldest first.
     :param head_bytes: bytes received since the start of an incomplete head.
+    :param framing_bytes: bytes received outside of a head since the last byte of a
+        body.
     """
 
     messages: collections.deque = attrs.field(factory=collections.deque)
     head_bytes: int = 0
+    framing_bytes: int = 0
     _current: _Message | None = None
+    _has_progress: bool = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
         current = self._current
@@ -135,17 +142,20 @@
     def on_body(self, body: bytes) -> None:
         self._current.body_parts.append(body)
         self._current.received_bytes += len(body)
+        self._has_progress = True
 
     def on_message_complete(self) -> None:
         self._current.is_complete = True
         self._current = None
+        self._has_progress = True
 
     def feed(self, data: bytes) -> None:
         """Parses the next bytes of the connection.
 
-        :raises MalformedRequestError: when they are not valid HTTP/1.1, or ask for an
-            upgrade.
+        :raises MalformedRequestError: when they are not valid HTTP/1.1, ask for an
+            upgrade, or hold too much framing without a body.
         """
+        self._has_progress = False
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
@@ -159,8 +169,11 @@
             ) from error
         if self._current is not None and not self._current.has_head:
             self.head_bytes += len(data)
-        else:
-            self.head_bytes = 0
+            return
+        self.head_bytes = 0
+        self.framing_bytes = 0 if self._has_progress else self.framing_bytes + len(data)
+        if self.framing_bytes > MAX_FRAMING_BYTES:
+            raise MalformedRequestError("too much framing without a body")
 
 
 @attrs.define(eq=False)
--- a/src/coltsfootspar/relay/server.py
+++ b/src/coltsfootspar/relay/server.py
@@ -143,14 +143,17 @@
         return True
 
     def set_deadline(
-        self, deadline: float, on_deadline: Callable[[], Awaitable[None]]
+        self,
+        deadline: float,
+        on_deadline: Callable[[], Awaitable[None]] | None = None,
     ) -> None:
         """Cancels the handler soon after a deadline, until :meth:`clear_deadline`.
 
         The periodic checks of the server cost less than deadlines of cancel scopes.
 
         :param deadline: trio clock, seconds.
-        :param on_deadline: sends the response in place of the handler.
+        :param on_deadline: sends the response in place of the handler; None closes the
+            connection instead.
         """
         self.on_deadline = on_deadline
         self.deadline = deadline
