Render the metrics page of fleet nodes and replicas

Each fetch of the page raised AttributeError, since aioprometheus 23.12 has no formats.text.encode; nothing rendered the page in a test. It is rendered by aioprometheus.render now.

--- a/src/coltsfootspar/fleet/metrics.py
+++ b/src/coltsfootspar/fleet/metrics.py
@@ -3,9 +3,8 @@
 from collections.abc import Callable
 
 import attrs
-from aioprometheus import Histogram, Registry
+from aioprometheus import Histogram, Registry, render
 from aioprometheus.collectors import Counter, Gauge
-from aioprometheus.formats import text
 
 __all__ = ["FleetMetrics", "create_fleet_metrics"]
 
@@ -45,7 +44,8 @@
         """Renders the page in the Prometheus text format."""
         for collector, read in self._collectors:
             collector.set({}, read())
-        return text.encode(self._registry)
+        page, _ = render(self._registry, [])
+        return page
 
     def observe_seconds(self, seconds: float) -> None:
         """Records the latency of a served request."""
