Count a replica whose committed admission the leader has not applied yet

A replica that took over a seat or a new disk did not count towards commits until the leader had applied its admission. After a restart of all, a leader applies nothing before it commits; with one more disk lost it needed that very replica, and the cluster never committed again. Found with five seats, two wiped disks and a power failure; three replicas show it as well.

A replica says that it is admitted only once it has applied its admission, so a majority of the others has synced that entry, and every later leader has it in its log. The leader now counts a replica that says so under the incarnation of the latest admission in its log.

--- a/src/coltsfootspar/replication/leadership.py
+++ b/src/coltsfootspar/replication/leadership.py
@@ -196,8 +196,11 @@
     def _counts_toward_quorum(self, peer: _Peer) -> bool:
         pending = self._admissions.get(peer.replica_id)
         if pending is not None:
-            if pending[0] > self._core.state.index:
-                return False
+            index, incarnation = pending
+            if index > self._core.state.index:
+                # A replica counts itself as admitted only once it has applied its
+                # admission, which proves that a majority of the others has synced it.
+                return peer.is_admitted and peer.incarnation == incarnation
             del self._admissions[peer.replica_id]
         admitted_incarnation = self._core.state.get_incarnation(peer.replica_id)
         return peer.is_admitted and peer.incarnation == admitted_incarnation
--- a/src/coltsfootspar/replication/tests/test_failures.py
+++ b/src/coltsfootspar/replication/tests/test_failures.py
@@ -516,3 +516,26 @@
         await cluster.replace_disk(leader)
         versions += await make_changes(client, 3)
         await check_history(cluster, client, versions[-900:])
+
+
+@pytest.mark.parametrize("lost", ["r2", "r3"])
+async def test_disk_lost_in_a_restart_of_all_after_a_replacement(autojump_clock, lost):
+    """Guards against a cluster that never commits again after two repairs.
+
+    After the restart, the leader does not know that the admission of the replica with
+    the first new disk is committed, and needs that replica to commit anything.
+    """
+    async with open_cluster() as cluster:
+        client = cluster.create_client()
+        versions = await make_changes(client, 5)
+        await cluster.replace_disk("r1")
+        replica = cluster.replicas["r1"]
+        await wait_until(lambda: replica.core.identity.is_admitted, 20)
+        versions += await make_changes(client, 2)
+        for name in cluster.replica_ids:
+            await cluster.crash(name)
+        cluster.disks[lost] = cluster.create_disk()
+        for name in cluster.replica_ids:
+            await cluster.start(name)
+        versions += await make_changes(cluster.create_client("later"), 2)
+        await check_history(cluster, client, versions)
