Give the cluster enough seats for the hosts that may be lost at once

The large deployment may lose two hosts with a disk at once, but a cluster had three seats, one for each seed: two wiped disks left no majority, changes stopped for good, and nodes kept the routes of a saved copy.

A cluster now has 2 x host_losses + 1 seats, at least one for each seed. The seeds hold the first ones; the others are vacant until a host without a seat joins, but count for the majority from the start, so that the group never changes its size and each acknowledged change is on more disks than may be lost. Until the vacant seats are taken, all three seeds are needed. A seat that was never held is offered at once. A replica that does not know the address of a seat asks the membership: after a power failure it may know of an admission only from entries that are not known to be committed.

--- a/src/coltsfootspar/fleet/node.py
+++ b/src/coltsfootspar/fleet/node.py
@@ -22,7 +22,12 @@
 from coltsfootspar.fleet.metrics import FleetMetrics, create_fleet_metrics
 from coltsfootspar.fleet.reloading import SettingsFile
 from coltsfootspar.fleet.routecopy import RouteCopy, create_route_copy
-from coltsfootspar.fleet.seats import SEAT_SERVICE_PREFIX, create_seat_map, name_seats
+from coltsfootspar.fleet.seats import (
+    count_seats,
+    create_seat_map,
+    find_seat_holder,
+    name_seats,
+)
 from coltsfootspar.membership import Membership, open_udp_port
 from coltsfootspar.relay import (
     BackendServer,
@@ -78,18 +83,17 @@
     def find_replica(self, seat: str) -> Address | None:
         """Returns the address of the replica that holds a seat.
 
-        When several members announce the seat, the highest incarnation counts.
-
-        :returns: None when no seat has this name.
+        :returns: None when no seat has this name or it has never been held.
         """
-        holders = [
-            self._membership.get_member(candidate.node_id)
-            for candidate in self.list_candidates(SEAT_SERVICE_PREFIX + seat)
-        ]
-        if holders:
-            return max(holders, key=lambda member: member.incarnation).peer_address
+        address = find_seat_holder(
+            seat, self.list_candidates, self._membership.get_member
+        )
+        if address is not None:
+            return address
         # Until a holder is known, assume the seats of the first start, at the seeds.
-        return create_seat_map(list_peer_seeds(self._settings)).find_address(seat)
+        settings = self._settings
+        seats = create_seat_map(list_peer_seeds(settings), settings.host_losses)
+        return seats.find_address(seat)
 
 
 @attrs.define(eq=False)
@@ -248,7 +252,7 @@
     links = create_peer_links(
         create_fleet_identity(settings, settings.id, "node"), directory.find_replica
     )
-    seats = list(name_seats(len(settings.seeds)))
+    seats = list(name_seats(count_seats(len(settings.seeds), settings.host_losses)))
     source.shuffle(seats)
     client = create_replication_client(seats, links, source)
     routes = create_route_copy()
--- a/src/coltsfootspar/fleet/replica.py
+++ b/src/coltsfootspar/fleet/replica.py
@@ -30,6 +30,7 @@
     SeatMap,
     SeatOffers,
     create_seat_map,
+    find_seat_holder,
 )
 from coltsfootspar.membership import Membership, open_udp_port
 from coltsfootspar.relay import RelayServer, create_relay_server
@@ -269,7 +270,7 @@
 
     def _list_peer_addresses(self) -> list[Address]:
         known = list_peer_seeds(self.settings)
-        known += [parse_address(text) for text in self.seats.addresses.values()]
+        known += self.seats.list_holders()
         known += [
             member.peer_address
             for member in self.membership.list_members()
@@ -279,6 +280,16 @@
         unique.pop(self.address, None)
         return list(unique)
 
+    def _find_announced(self, seat: str) -> Address | None:
+        """Returns the address of the host that announces a seat.
+
+        After a power failure, a replica may know of an admission only from entries
+        of its log that are not known to be committed.
+        """
+        return find_seat_holder(
+            seat, self.membership.list_candidates, self.membership.get_member
+        )
+
     @contextlib.asynccontextmanager
     async def _open_disk(self):
         disk = open_disk(self.settings.data_folder)
@@ -307,7 +318,7 @@
 
         def resolve_address(name: str) -> Address | None:
             text = find_address_text(name)
-            return parse_address(text) if text else None
+            return parse_address(text) if text else self._find_announced(name)
 
         identity = create_fleet_identity(settings, seat, "replica")
         links = create_peer_links(identity, resolve_address)
@@ -422,7 +433,7 @@
         membership = create_fleet_membership(
             settings, port, peer_address, timers, source
         )
-        seats = create_seat_map(list_peer_seeds(settings))
+        seats = create_seat_map(list_peer_seeds(settings), settings.host_losses)
         process = FleetReplica(settings, adapter, membership, timers, seats, source)
         settings_file.on_change = process.apply_settings
         with trio.open_signal_receiver(*HANDLED_SIGNALS) as signals:
--- a/src/coltsfootspar/fleet/seats.py
+++ b/src/coltsfootspar/fleet/seats.py
@@ -1,29 +1,38 @@
 """Assignment of the seats of a cluster of replicas to hosts.
 
 A seat is one voting slot of the cluster; its name is the id of the replica that runs
-there. A cluster has one seat for each seed of its first start. A host that joins with
+there. A cluster has enough seats for a majority to survive the loss of as many hosts
+as the settings name, and never fewer than seeds at its first start. The seeds hold the
+first seats from the start; the others are vacant until a host joins, but count as
+seats all the same, so that every commit is on a majority of all seats from the first
+one on. A host that joins with
 an empty disk is offered the seat recorded for its address or, failing that, the
 seat of a replica that has stopped answering. The replica of the new holder votes and
 counts towards the quorum only once its admission is committed by a majority of the
 others, as after a lost disk, so that no seat votes twice in a term.
 """
 
-from collections.abc import Sequence
+import itertools
+from collections.abc import Callable, Iterable, Sequence
 
 import attrs
 import trio
 
 from coltsfootspar.logs import log_decision
+from coltsfootspar.membership import Member
 from coltsfootspar.replication import Disk, Replica, Role
 from coltsfootspar.replication.identity import load_document, save_document
 from coltsfootspar.replication.messages import JoinReply, JoinRequest
+from coltsfootspar.routing import Candidate
 from coltsfootspar.wire import Address, parse_address
 
 __all__ = [
     "SEAT_SERVICE_PREFIX",
     "SeatMap",
     "SeatOffers",
+    "count_seats",
     "create_seat_map",
+    "find_seat_holder",
     "name_seats",
 ]
 
@@ -36,6 +45,21 @@
 VACANCY_TIMEOUT_SECONDS = 2.0
 # An offer expires after this time unless the host has been admitted.
 OFFER_LIFETIME_SECONDS = 4.0
+_MIN_SEEDS_OF_A_LARGER_CLUSTER = 3
+
+
+def count_seats(seeds: int, host_losses: int) -> int:
+    """Returns the number of seats of a cluster.
+
+    :param seeds: number of seeds; a cluster of fewer than three has no other hosts.
+    :param host_losses: hosts that may be lost at the same time.
+
+    >>> count_seats(3, 1), count_seats(3, 2), count_seats(1, 1)
+    (3, 5, 1)
+    """
+    if seeds < _MIN_SEEDS_OF_A_LARGER_CLUSTER:
+        return seeds
+    return max(seeds, 2 * host_losses + 1)
 
 
 def name_seats(count: int) -> tuple[str, ...]:
@@ -47,11 +71,35 @@
     return tuple(f"seat-{number}" for number in range(1, count + 1))
 
 
+def find_seat_holder(
+    seat: str,
+    list_candidates: Callable[[str], Iterable[Candidate]],
+    get_member: Callable[[str], Member | None],
+) -> Address | None:
+    """Returns the peer address of the member that announces a seat.
+
+    When several members announce it, the highest incarnation counts.
+
+    :param list_candidates: lists the members that announce a service.
+    :param get_member: returns a member by its id.
+    :returns: None when no member announces the seat.
+    """
+    members = [
+        get_member(candidate.node_id)
+        for candidate in list_candidates(SEAT_SERVICE_PREFIX + seat)
+    ]
+    holders = [member for member in members if member is not None]
+    if not holders:
+        return None
+    return max(holders, key=lambda member: member.incarnation).peer_address
+
+
 @attrs.define(eq=False)
 class SeatMap:
     """Maps seats to the addresses of their last known holders.
 
-    :param addresses: peer address of the holder by name of the seat.
+    :param addresses: peer address of the holder by name of the seat; empty while the
+        seat has never been held.
     """
 
     addresses: dict[str, str]
@@ -73,6 +121,10 @@
                 return seat
         return ""
 
+    def list_holders(self) -> list[Address]:
+        """Returns the addresses of the known holders."""
+        return [parse_address(text) for text in self.addresses.values() if text]
+
     def update(self, addresses: dict[str, str]) -> bool:
         """Replaces addresses by newer ones.
 
@@ -95,16 +147,18 @@
         await save_document(disk, _FILE_NAME, self.addresses)
 
 
-def create_seat_map(seeds: Sequence[Address]) -> SeatMap:
+def create_seat_map(seeds: Sequence[Address], host_losses: int = 1) -> SeatMap:
     """Creates the seat map of a new cluster.
 
     All hosts derive the same map, since seats are numbered in the order of the
     sorted addresses.
 
-    :param seeds: peer addresses of the seeds.
+    :param seeds: peer addresses of the seeds, which hold the first seats.
+    :param host_losses: hosts that may be lost at the same time.
     """
-    addresses = sorted(str(seed) for seed in seeds)
-    return SeatMap(dict(zip(name_seats(len(addresses)), addresses, strict=True)))
+    holders = sorted(str(seed) for seed in seeds)
+    names = name_seats(count_seats(len(holders), host_losses))
+    return SeatMap(dict(itertools.zip_longest(names, holders, fillvalue="")))
 
 
 @attrs.define(eq=False)
@@ -167,6 +221,10 @@
                 continue
             _, expires_at = self._offers.get(seat, ("", 0.0))
             silent_seconds = now - core.leader_term.get_last_contact(seat)
-            if silent_seconds > VACANCY_TIMEOUT_SECONDS and expires_at <= now:
+            is_vacant = (
+                not self._map.addresses[seat]
+                or silent_seconds > VACANCY_TIMEOUT_SECONDS
+            )
+            if is_vacant and expires_at <= now:
                 return seat
         return ""
--- a/src/coltsfootspar/fleet/tests/test_cluster.py
+++ b/src/coltsfootspar/fleet/tests/test_cluster.py
@@ -53,6 +53,7 @@
     nursery: trio.Nursery
     folder: object
     prefix: str
+    host_losses: int = 1
     scopes: dict[int, trio.CancelScope] = attrs.field(factory=dict)
     processes: dict[int, FleetReplica] = attrs.field(factory=dict)
     stopped_events: dict[int, trio.Event] = attrs.field(factory=dict)
@@ -78,6 +79,7 @@
             peer_port=PEER_PORT,
             gossip_port=PEER_PORT,
             metrics_port=METRICS_PORT,
+            host_losses=self.host_losses,
             data_folder=str(self.get_folder(number)),
             is_first_start=is_first,
         )
@@ -100,7 +102,7 @@
                     StubAdapter(),
                     membership,
                     timers,
-                    create_seat_map(peers),
+                    create_seat_map(peers, settings.host_losses),
                     source,
                 )
                 self.processes[number] = process
@@ -166,6 +168,18 @@
             ):
                 await trio.sleep(0.05)
 
+    async def wait_seats_taken(self, count: int) -> None:
+        """Waits until as many hosts hold a seat."""
+        with trio.fail_after(TIMEOUT_SECONDS):
+            while (  # noqa: ASYNC110
+                sum(self._is_admitted(number) for number in self.processes) < count
+            ):
+                await trio.sleep(0.05)
+
+    def find_spare(self) -> int:
+        """Returns a host without a seat."""
+        return next(n for n in self.processes if not self._is_admitted(n))
+
     def _is_admitted(self, number: int) -> bool:
         process = self.processes.get(number)
         replica = process._replica if process is not None else None
@@ -302,3 +316,60 @@
     with pytest.raises(ExceptionGroup) as raised:
         await cluster._use_client(lambda client: client.read_routes(1.0))
     assert raised.group_contains(NoQuorumError)
+
+
+async def form_cluster_of_five_seats(cluster, hosts=6):
+    cluster.host_losses = 2
+    for number in range(1, hosts + 1):
+        await cluster.start(number, is_first=True)
+    await cluster.wait_admitted(1, 2, 3)
+    await cluster.wait_seats_taken(5)
+    result = await cluster.change_routes(1, 0)
+    assert result.status == "applied"
+
+
+async def test_two_wiped_disks_and_a_power_loss_lose_no_change(cluster):
+    """Guards against a cluster that has no majority left after two lost disks."""
+    await form_cluster_of_five_seats(cluster, hosts=5)
+    assert (await cluster.change_routes(2, 1)).status == "applied"
+    for number in (1, 2, 3, 4, 5):
+        await cluster.kill(number, wipe=number in (1, 2))
+    for number in (1, 2, 3, 4, 5):
+        await cluster.start(number)
+    await cluster.wait_admitted(1, 2, 3, 4, 5)
+    assert await cluster.read_version() == 2
+
+
+async def test_two_hosts_lost_at_once_leave_a_majority(cluster):
+    """Guards against changes that wait while two hosts are down."""
+    await form_cluster_of_five_seats(cluster, hosts=5)
+    await cluster.kill(1)
+    await cluster.kill(2)
+    assert (await cluster.change_routes(2, 1)).status == "applied"
+    assert await cluster.read_version() == 2
+
+
+async def test_sixth_host_takes_the_seat_of_a_lost_one(cluster):
+    """Guards against a seat that stays empty though a host without one is running."""
+    await form_cluster_of_five_seats(cluster)
+    lost = next(n for n in (1, 2, 3) if cluster.processes[n]._replica is not None)
+    spare = cluster.find_spare()
+    await cluster.kill(lost, wipe=True)
+    await cluster.wait_admitted(spare)
+    holders = [n for n in cluster.processes if n != spare]
+    for number in holders[:2]:
+        await cluster.kill(number)
+    assert (await cluster.change_routes(2, 1)).status == "applied"
+
+
+async def test_change_waits_until_it_is_on_more_disks_than_may_be_lost(cluster):
+    """Guards against an acknowledgement on two disks while the cluster forms."""
+    cluster.host_losses = 2
+    for number in (1, 2):
+        await cluster.start(number, is_first=True)
+    await cluster.wait_admitted(1, 2)
+    with trio.move_on_after(4):
+        await cluster.change_routes(1, 0)
+        pytest.fail("acknowledged on two disks")
+    await cluster.start(3, is_first=True)
+    assert (await cluster.change_routes(1, 0)).status == "applied"
--- a/src/coltsfootspar/settings/fleet.py
+++ b/src/coltsfootspar/settings/fleet.py
@@ -46,6 +46,8 @@
     :param id: name of the process, unique in the deployment.
     :param host: IP address of the own host.
     :param seeds: control addresses of some hosts with a replica.
+    :param host_losses: hosts with a replica that may be lost at the same time. Equal
+        on all hosts; changed only while all replicas are stopped.
     :param shared_key: secret of the deployment, hexadecimal digits.
     :param peer_port: TCP port of the internal protocol, equal on all hosts.
     :param gossip_port: UDP port of the membership, equal on all hosts.
@@ -61,6 +63,7 @@
     peer_port: int
     gossip_port: int
     metrics_port: int
+    host_losses: int = attrs.field(default=1, validator=attrs.validators.ge(0))
     log_level: str = attrs.field(default="info", validator=require_choice(*LOG_LEVELS))
     bounds: FleetBounds = attrs.field(factory=FleetBounds)
 
