Order departures and restarts of a backend server by its start

A server that deregistered, and whose report then became overdue, was ignored for good when it started again under its old id, since its former start was forgotten. A late notice of departure of an earlier start took the present one out of use. A notice that came after the report was overdue was dropped, so a late report could bring the server back.

The latest start that has departed is kept for each id, notices carry the start, and reports of that start or an earlier one change nothing; they no longer count as signs of life.

--- a/src/coltsfootspar/fleet/control.py
+++ b/src/coltsfootspar/fleet/control.py
@@ -100,7 +100,7 @@
                 self._backend.apply_report(request)
                 return ControlResponse(200)
             case BackendDeparture():
-                self._backend.apply_departure(request.instance_id)
+                self._backend.apply_departure(request.instance_id, request.started_ms)
                 return ControlResponse(200)
         return create_error_response(404, "request is served by the replicas")
 
--- a/src/coltsfootspar/fleet/interfaces.py
+++ b/src/coltsfootspar/fleet/interfaces.py
@@ -18,9 +18,13 @@
 
 @attrs.frozen
 class BackendDeparture:
-    """Notice of a backend server that it leaves."""
+    """Notice of a backend server that it leaves.
+
+    :param started_ms: Unix time of its start, milliseconds; 0 when unknown.
+    """
 
     instance_id: str
+    started_ms: int = 0
 
 
 @attrs.frozen
--- a/src/coltsfootspar/relay/backend.py
+++ b/src/coltsfootspar/relay/backend.py
@@ -77,7 +77,9 @@
     limiter: ConcurrencyLimiter = attrs.field(factory=create_concurrency_limiter)
     report: BackendReport | None = None
     _newest_order: tuple[int, int] = (-1, -1)
-    _departed_id: str = ""
+    _last_report: BackendReport | None = None
+    # Start of the latest boot that has departed, by instance id.
+    _departed_starts: dict[str, int] = attrs.field(factory=dict)
     _reported_at: float = -float("inf")
     _down_until: float = -float("inf")
     _pool: ConnectionPool | None = None
@@ -111,12 +113,17 @@
         now = trio.current_time()
         previous = self.report
         self._newest_order = report.order
-        self._reported_at = now
-        if report.instance_id == self._departed_id and (
-            previous is None or report.started_ms == previous.started_ms
-        ):
+        departed_start = self._departed_starts.get(report.instance_id)
+        if departed_start is not None and report.started_ms <= departed_start:
+            log_decision(
+                "report-ignored",
+                instance=report.instance_id,
+                order=report.order,
+                departed=departed_start,
+            )
             return
-        self.report = report
+        self._reported_at = now
+        self.report = self._last_report = report
         self._down_until = now
         if previous is None or previous.address != report.address:
             self._replace_pool(report.address)
@@ -137,16 +144,29 @@
             )
             self._publish_change()
 
-    def apply_departure(self, instance_id: str) -> None:
-        """Stops sending new work to a backend server that has deregistered."""
-        report = self.report
+    def apply_departure(self, instance_id: str, started_ms: int = 0) -> None:
+        """Stops sending new work to a backend server that has deregistered.
+
+        :param started_ms: Unix time of its start, milliseconds; 0 when unknown, which
+            means the latest known start.
+        """
+        report = self._last_report
         if report is None or report.instance_id != instance_id:
             log_decision("departure-ignored", instance=instance_id)
             return
-        self._departed_id = instance_id
-        self.report = attrs.evolve(report, is_leaving=True)
+        if 0 < started_ms < report.started_ms:
+            log_decision(
+                "departure-ignored",
+                instance=instance_id,
+                started=started_ms,
+                known=report.started_ms,
+            )
+            return
+        self._departed_starts[instance_id] = report.started_ms
         log_decision("backend-departed", instance=instance_id)
-        self._publish_change()
+        if self.report is not None:
+            self.report = attrs.evolve(report, is_leaving=True)
+            self._publish_change()
 
     def expire_stale(self, now: float) -> None:
         """Closes idle connections and drops a backend server whose report is overdue.
--- a/src/coltsfootspar/relay/tests/test_path.py
+++ b/src/coltsfootspar/relay/tests/test_path.py
@@ -4,7 +4,7 @@
 import pytest
 import trio
 
-from coltsfootspar.relay import PriorityClass
+from coltsfootspar.relay import PriorityClass, create_backend_server
 from coltsfootspar.routes import Repetition, RouteTable, Service
 from coltsfootspar.wire import Address
 
@@ -279,6 +279,45 @@
     assert backend.service == ""
 
 
+async def test_restarted_server_with_its_old_id_is_used_again(autojump_clock):
+    """Guards against a restarted server that stays out of use for good.
+
+    It had deregistered, and nothing was heard of it until its report was overdue.
+    """
+    address = Address(HOST, 9)
+    backend = create_backend_server(NAMES, lambda: None)
+    backend.apply_report(create_report(address, started_ms=5))
+    backend.apply_departure("i-1", 5)
+    await trio.sleep(20)
+    backend.expire_stale(trio.current_time())
+    backend.apply_report(create_report(address, started_ms=5, sequence=7))
+    assert backend.service == ""
+    backend.apply_report(create_report(address, started_ms=6))
+    assert backend.service == "wallet"
+
+
+async def test_late_departure_of_an_earlier_start_is_ignored(autojump_clock):
+    """Guards against a notice of the last start that takes out the present one."""
+    backend = create_backend_server(NAMES, lambda: None)
+    backend.apply_report(create_report(Address(HOST, 9), started_ms=6))
+    backend.apply_departure("i-1", 5)
+    assert backend.service == "wallet"
+    backend.apply_departure("i-1", 6)
+    assert backend.service == ""
+
+
+async def test_departure_after_silence_counts(autojump_clock):
+    """Guards against a late report of a server that left after it was silent."""
+    address = Address(HOST, 9)
+    backend = create_backend_server(NAMES, lambda: None)
+    backend.apply_report(create_report(address, started_ms=5))
+    await trio.sleep(20)
+    backend.expire_stale(trio.current_time())
+    backend.apply_departure("i-1")
+    backend.apply_report(create_report(address, started_ms=5, sequence=7))
+    assert backend.service == ""
+
+
 async def test_disconnected_caller_cancels_its_request(harness):
     """Guards against work that continues for a caller that has disconnected."""
     started = trio.Event()
