Load only the client of the replication and the links of the routing on a node

The packages replication and routing import their names on first use (lazy-loader). The link to a replica in the same process, and the offers of seats with the saved seat map, stand in modules of their own.

The tests of replication, fleet, routing, replica, relay, settings and platform pass (444 passed, 1 expected failure).

--- /dev/null
+++ b/src/coltsfootspar/fleet/offers.py
@@ -0,0 +1,99 @@
+"""Offers of seats to hosts that join with an empty disk, and the saved seat map."""
+
+import attrs
+import trio
+
+from coltsfootspar.fleet.seats import SeatMap
+from coltsfootspar.logs import log_decision
+from coltsfootspar.replication import Disk, Replica, Role
+from coltsfootspar.replication.identity import load_document, save_document
+from coltsfootspar.replication.messages import JoinReply, JoinRequest
+
+__all__ = ["SeatOffers", "load_seats", "save_seats"]
+
+_FILE_NAME = "seats"
+# A seat may be offered to another host once its replica has not answered the leader
+# for this time.
+VACANCY_TIMEOUT_SECONDS = 2.0
+# An offer expires after this time unless the host has been admitted.
+OFFER_LIFETIME_SECONDS = 4.0
+
+
+async def load_seats(seats: SeatMap, disk: Disk) -> None:
+    """Loads the saved addresses of the holders into a map, if there are any."""
+    if _FILE_NAME in await disk.list_files():
+        seats.update(await load_document(disk, _FILE_NAME))
+
+
+async def save_seats(seats: SeatMap, disk: Disk) -> None:
+    """Saves the addresses, so that the process can restart with other seeds."""
+    await save_document(disk, _FILE_NAME, seats.addresses)
+
+
+@attrs.define(eq=False)
+class SeatOffers:
+    """Offers seats to hosts that join with an empty disk.
+
+    Only an up-to-date leader makes offers. An offer is kept in memory and grants no
+    vote.
+    """
+
+    _map: SeatMap
+    _replica: Replica
+    _offers: dict[str, tuple[str, float]] = attrs.field(factory=dict)
+
+    def handle_join(self, request: JoinRequest) -> JoinReply:
+        """Answers the join request of a host without a seat.
+
+        :returns: a reply that names the offered seat, or the leader to ask.
+        """
+        core = self._replica.core
+        seat = ""
+        if core.role is Role.LEADER and core.is_current:
+            seat = self._offer_seat(request)
+        leader = core.leader_id or ""
+        leader_address = self._map.addresses.get(leader, "")
+        return JoinReply(seat, leader_address, core.state.seats, core.state.index)
+
+    def find_address(self, seat: str) -> str:
+        """Returns the address of the replica of a seat.
+
+        :returns: the host of an open offer, else the holder; empty when unknown.
+        """
+        offered_to, expires_at = self._offers.get(seat, ("", 0.0))
+        if offered_to and expires_at > trio.current_time():
+            return offered_to
+        return self._map.addresses.get(seat, "")
+
+    def _offer_seat(self, request: JoinRequest) -> str:
+        now = trio.current_time()
+        seat = self._find_offered_seat(request.address, now) or self._map.find_seat(
+            request.address
+        )
+        seat = seat or self._find_vacant_seat(now)
+        if seat and seat != self._replica.core.replica_id:
+            self._offers[seat] = (request.address, now + OFFER_LIFETIME_SECONDS)
+            log_decision("seat-offered", seat=seat, address=request.address)
+            return seat
+        return ""
+
+    def _find_offered_seat(self, address: str, now: float) -> str:
+        for seat, (offered_to, expires_at) in self._offers.items():
+            if offered_to == address and expires_at > now:
+                return seat
+        return ""
+
+    def _find_vacant_seat(self, now: float) -> str:
+        core = self._replica.core
+        for seat in self._map.names:
+            if seat == core.replica_id:
+                continue
+            _, expires_at = self._offers.get(seat, ("", 0.0))
+            silent_seconds = now - core.leader_term.get_last_contact(seat)
+            is_vacant = (
+                not self._map.addresses[seat]
+                or silent_seconds > VACANCY_TIMEOUT_SECONDS
+            )
+            if is_vacant and expires_at <= now:
+                return seat
+        return ""
--- a/src/coltsfootspar/fleet/replica.py
+++ b/src/coltsfootspar/fleet/replica.py
@@ -23,12 +23,12 @@
 from coltsfootspar.fleet.control import ReplicaControl, create_control_handler
 from coltsfootspar.fleet.interfaces import ProtocolAdapter
 from coltsfootspar.fleet.metrics import create_fleet_metrics
+from coltsfootspar.fleet.offers import SeatOffers, load_seats, save_seats
 from coltsfootspar.fleet.peers import send_single_request
 from coltsfootspar.fleet.reloading import SettingsFile
 from coltsfootspar.fleet.seats import (
     SEAT_SERVICE_PREFIX,
     SeatMap,
-    SeatOffers,
     create_seat_map,
     find_seat_holder,
 )
@@ -183,7 +183,7 @@
             may_bootstrap, self._may_bootstrap = self._may_bootstrap, False
             if not file_names and may_bootstrap and own_seat:
                 await format_replica(disk, DEPLOYMENT, own_seat)
-                await self.seats.save(disk)
+                await save_seats(self.seats, disk)
                 return own_seat
             if _IDENTITY_FILE_NAME in file_names:
                 # The replica is created for a given seat and checks it against the
@@ -198,7 +198,7 @@
             with contextlib.suppress(ColtsfootsparError):
                 identity = await load_identity(disk, seat, self._random)
                 if identity.is_admitted:
-                    await self.seats.load(disk)
+                    await load_seats(self.seats, disk)
                     return seat
         return ""
 
@@ -377,7 +377,7 @@
         last_check = trio.current_time()
         async for now in self.timers.subscribe(_WATCH_PERIOD_SECONDS):
             if self.seats.update(core.state.seats):
-                await self.seats.save(disk)
+                await save_seats(self.seats, disk)
             if core.identity.is_admitted:
                 self.membership.announce(SEAT_SERVICE_PREFIX + seat, 1, 0.0)
             last_contact = max(
--- a/src/coltsfootspar/fleet/seats.py
+++ b/src/coltsfootspar/fleet/seats.py
@@ -16,20 +16,14 @@
 from collections.abc import Callable, Iterable, Sequence
 
 import attrs
-import trio
 
-from coltsfootspar.logs import log_decision
 from coltsfootspar.membership import Member
-from coltsfootspar.replication import Disk, Replica, Role
-from coltsfootspar.replication.identity import load_document, save_document
-from coltsfootspar.replication.messages import JoinReply, JoinRequest
 from coltsfootspar.routing import Candidate
 from coltsfootspar.wire import Address, parse_address
 
 __all__ = [
     "SEAT_SERVICE_PREFIX",
     "SeatMap",
-    "SeatOffers",
     "count_seats",
     "create_seat_map",
     "find_seat_holder",
@@ -39,12 +33,6 @@
 # The holder of a seat announces this service name with the seat appended, through
 # which nodes find it.
 SEAT_SERVICE_PREFIX = "coltsfootspar-replica-"
-_FILE_NAME = "seats"
-# A seat may be offered to another host once its replica has not answered the leader
-# for this time.
-VACANCY_TIMEOUT_SECONDS = 2.0
-# An offer expires after this time unless the host has been admitted.
-OFFER_LIFETIME_SECONDS = 4.0
 _MIN_SEEDS_OF_A_LARGER_CLUSTER = 3
 
 
@@ -137,15 +125,6 @@
         self.addresses.update(addresses)
         return True
 
-    async def load(self, disk: Disk) -> None:
-        """Loads the saved addresses, if there are any."""
-        if _FILE_NAME in await disk.list_files():
-            self.addresses.update(await load_document(disk, _FILE_NAME))
-
-    async def save(self, disk: Disk) -> None:
-        """Saves the addresses, so that the process can restart with other seeds."""
-        await save_document(disk, _FILE_NAME, self.addresses)
-
 
 def create_seat_map(seeds: Sequence[Address], host_losses: int = 1) -> SeatMap:
     """Creates the seat map of a new cluster.
@@ -159,72 +138,3 @@
     holders = sorted(str(seed) for seed in seeds)
     names = name_seats(count_seats(len(holders), host_losses))
     return SeatMap(dict(itertools.zip_longest(names, holders, fillvalue="")))
-
-
-@attrs.define(eq=False)
-class SeatOffers:
-    """Offers seats to hosts that join with an empty disk.
-
-    Only an up-to-date leader makes offers. An offer is kept in memory and grants no
-    vote.
-    """
-
-    _map: SeatMap
-    _replica: Replica
-    _offers: dict[str, tuple[str, float]] = attrs.field(factory=dict)
-
-    def handle_join(self, request: JoinRequest) -> JoinReply:
-        """Answers the join request of a host without a seat.
-
-        :returns: a reply that names the offered seat, or the leader to ask.
-        """
-        core = self._replica.core
-        seat = ""
-        if core.role is Role.LEADER and core.is_current:
-            seat = self._offer_seat(request)
-        leader = core.leader_id or ""
-        leader_address = self._map.addresses.get(leader, "")
-        return JoinReply(seat, leader_address, core.state.seats, core.state.index)
-
-    def find_address(self, seat: str) -> str:
-        """Returns the address of the replica of a seat.
-
-        :returns: the host of an open offer, else the holder; empty when unknown.
-        """
-        offered_to, expires_at = self._offers.get(seat, ("", 0.0))
-        if offered_to and expires_at > trio.current_time():
-            return offered_to
-        return self._map.addresses.get(seat, "")
-
-    def _offer_seat(self, request: JoinRequest) -> str:
-        now = trio.current_time()
-        seat = self._find_offered_seat(request.address, now) or self._map.find_seat(
-            request.address
-        )
-        seat = seat or self._find_vacant_seat(now)
-        if seat and seat != self._replica.core.replica_id:
-            self._offers[seat] = (request.address, now + OFFER_LIFETIME_SECONDS)
-            log_decision("seat-offered", seat=seat, address=request.address)
-            return seat
-        return ""
-
-    def _find_offered_seat(self, address: str, now: float) -> str:
-        for seat, (offered_to, expires_at) in self._offers.items():
-            if offered_to == address and expires_at > now:
-                return seat
-        return ""
-
-    def _find_vacant_seat(self, now: float) -> str:
-        core = self._replica.core
-        for seat in self._map.names:
-            if seat == core.replica_id:
-                continue
-            _, expires_at = self._offers.get(seat, ("", 0.0))
-            silent_seconds = now - core.leader_term.get_last_contact(seat)
-            is_vacant = (
-                not self._map.addresses[seat]
-                or silent_seconds > VACANCY_TIMEOUT_SECONDS
-            )
-            if is_vacant and expires_at <= now:
-                return seat
-        return ""
--- a/src/coltsfootspar/replication/__init__.py
+++ b/src/coltsfootspar/replication/__init__.py
@@ -1,52 +1,32 @@
-"""Replication of the table, its history, the routes and the claims, and its client."""
+"""Replication of the table, its history, the routes and the claims, and its client.
 
-from coltsfootspar.replication.client import (
-    ReplicationClient,
-    create_id,
-    create_local_link,
-    create_replication_client,
-)
-from coltsfootspar.replication.commands import (
-    Abandon,
-    Change,
-    ChangeResult,
-    ChangeStatus,
-    Claim,
-    ClaimResult,
-    ClaimStatus,
-    EditCells,
-    Finish,
-    ReplaceRoutes,
-)
-from coltsfootspar.replication.core import ReplicaOptions, Role
-from coltsfootspar.replication.identity import format_replica
-from coltsfootspar.replication.interfaces import Disk, ReplicaLink
-from coltsfootspar.replication.localdisk import open_disk
-from coltsfootspar.replication.messages import ReplicaStatus
-from coltsfootspar.replication.replica import Replica, create_replica
+The names are imported on first use, so that a node loads the client only.
+"""
 
-__all__ = [
-    "Abandon",
-    "Change",
-    "ChangeResult",
-    "ChangeStatus",
-    "Claim",
-    "ClaimResult",
-    "ClaimStatus",
-    "Disk",
-    "EditCells",
-    "Finish",
-    "ReplaceRoutes",
-    "Replica",
-    "ReplicaLink",
-    "ReplicaOptions",
-    "ReplicaStatus",
-    "ReplicationClient",
-    "Role",
-    "create_id",
-    "create_local_link",
-    "create_replica",
-    "create_replication_client",
-    "format_replica",
-    "open_disk",
-]
+import lazy_loader
+
+__getattr__, __dir__, __all__ = lazy_loader.attach(
+    __name__,
+    submod_attrs={
+        "client": ["ReplicationClient", "create_id", "create_replication_client"],
+        "commands": [
+            "Abandon",
+            "Change",
+            "ChangeResult",
+            "ChangeStatus",
+            "Claim",
+            "ClaimResult",
+            "ClaimStatus",
+            "EditCells",
+            "Finish",
+            "ReplaceRoutes",
+        ],
+        "core": ["ReplicaOptions", "Role"],
+        "identity": ["format_replica"],
+        "interfaces": ["Disk", "ReplicaLink"],
+        "localdisk": ["open_disk"],
+        "locallink": ["create_local_link"],
+        "messages": ["ReplicaStatus"],
+        "replica": ["Replica", "create_replica"],
+    },
+)
--- a/src/coltsfootspar/replication/client.py
+++ b/src/coltsfootspar/replication/client.py
@@ -9,13 +9,13 @@
 import trio
 
 from coltsfootspar.exceptions import (
-    ColtsfootsparError,
     FrameError,
     LinkError,
     NoQuorumError,
     ReplicationError,
 )
 from coltsfootspar.replication.commands import (
+    MAX_COMMAND_BYTES,
     Abandon,
     Change,
     ChangeResult,
@@ -29,7 +29,6 @@
     Result,
 )
 from coltsfootspar.replication.interfaces import ReplicaLink
-from coltsfootspar.replication.leadership import MAX_COMMAND_BYTES
 from coltsfootspar.replication.messages import (
     HistoryReply,
     ProposeReply,
@@ -37,16 +36,13 @@
     ReplicaStatus,
     TableReply,
 )
-from coltsfootspar.replication.replica import Replica
 from coltsfootspar.routes import RouteTable, decode_routes
 from coltsfootspar.table import Edit, Table, check_edits
 from coltsfootspar.wire import FrameKind, Message, replication as codec
 
 __all__ = [
-    "LocalReplicaLink",
     "ReplicationClient",
     "create_id",
-    "create_local_link",
     "create_replication_client",
 ]
 
@@ -417,32 +413,6 @@
     last_error: str = "no replica was reachable"
 
 
-@attrs.define(eq=False)
-class LocalReplicaLink:
-    """Sends requests to a replica in the same process, and others over a link."""
-
-    _replica: Replica
-    _replica_id: str
-    _remote_link: ReplicaLink | None
-
-    async def request(self, replica_id: str, message: Message) -> Message:
-        """Sends a request and waits for the reply.
-
-        :raises LinkError: when no reply arrives.
-        """
-        if replica_id == self._replica_id:
-            return await self._request_local(message)
-        if self._remote_link is None:
-            raise LinkError(f"no link to {replica_id}", may_have_run=False)
-        return await self._remote_link.request(replica_id, message)
-
-    async def _request_local(self, message: Message) -> Message:
-        try:
-            return await self._replica.handle(self._replica_id, message)
-        except ColtsfootsparError as error:
-            raise LinkError(str(error), may_have_run=True, code=error.code) from error
-
-
 def _encode_proposal(command: Command) -> Message:
     message = codec.encode_propose(command)
     size = len(message.body)
@@ -460,17 +430,6 @@
     return str(uuid.UUID(int=source.getrandbits(128), version=4))
 
 
-def create_local_link(
-    replica: Replica, others: ReplicaLink | None = None
-) -> LocalReplicaLink:
-    """Creates a link to a replica in the same process.
-
-    :param others: link to the other replicas of the cluster; without one, requests
-        to them fail.
-    """
-    return LocalReplicaLink(replica, replica.core.replica_id, others)
-
-
 def create_replication_client(
     replica_ids: Sequence[str],
     link: ReplicaLink,
--- a/src/coltsfootspar/replication/commands.py
+++ b/src/coltsfootspar/replication/commands.py
@@ -8,6 +8,7 @@
 from coltsfootspar.table.columns import CellValue
 
 __all__ = [
+    "MAX_COMMAND_BYTES",
     "Abandon",
     "AdmitReplica",
     "Change",
@@ -28,6 +29,8 @@
     "Result",
 ]
 
+MAX_COMMAND_BYTES = 8 << 20
+
 
 @attrs.frozen
 class NoOperation:
--- a/src/coltsfootspar/replication/leadership.py
+++ b/src/coltsfootspar/replication/leadership.py
@@ -11,6 +11,7 @@
     ReplicationError,
 )
 from coltsfootspar.replication.commands import (
+    MAX_COMMAND_BYTES,
     AdmitReplica,
     Command,
     Entry,
@@ -28,9 +29,8 @@
 from coltsfootspar.timers import TimerService
 from coltsfootspar.wire import Message, replication as codec
 
-__all__ = ["MAX_COMMAND_BYTES", "Leadership", "create_leadership"]
+__all__ = ["Leadership", "create_leadership"]
 
-MAX_COMMAND_BYTES = 8 << 20
 _MAX_BATCH_ENTRIES = 512
 _MAX_BATCH_BYTES = 256 << 10
 _SNAPSHOT_CHUNK_BYTES = 256 << 10
--- a/src/coltsfootspar/routing/__init__.py
+++ b/src/coltsfootspar/routing/__init__.py
@@ -1,20 +1,17 @@
-"""Routing: load balancing across nodes, retries and hedging."""
+"""Routing: load balancing across nodes, retries and hedging.
 
-from coltsfootspar.routing.baseline import create_baseline_router
-from coltsfootspar.routing.interfaces import Candidate, Directory, PeerLink, Router
-from coltsfootspar.routing.links import PeerLinks, create_peer_links
-from coltsfootspar.routing.listeners import PeerServer, serve_peers
-from coltsfootspar.routing.router import create_router
+The names are imported on first use, so that a program loads only what it needs.
+"""
 
-__all__ = [
-    "Candidate",
-    "Directory",
-    "PeerLink",
-    "PeerLinks",
-    "PeerServer",
-    "Router",
-    "create_baseline_router",
-    "create_peer_links",
-    "create_router",
-    "serve_peers",
-]
+import lazy_loader
+
+__getattr__, __dir__, __all__ = lazy_loader.attach(
+    __name__,
+    submod_attrs={
+        "baseline": ["create_baseline_router"],
+        "interfaces": ["Candidate", "Directory", "PeerLink", "Router"],
+        "links": ["PeerLinks", "create_peer_links"],
+        "listeners": ["PeerServer", "serve_peers"],
+        "router": ["create_router"],
+    },
+)
