Spend the retries of rejected calls on the most important ranks first

The node of each backend server counts calls and rejections by rank over two seconds. A node keeps windows by rank. Retries of calls that may have run keep their own share. The sum stays within the bound, also while the mix changes. A rejection counts for the placement as an answer at the target latency, so that a server that rejects at once does not rank as the fastest.

--- a/src/coltsfootspar/fleet/node.py
+++ b/src/coltsfootspar/fleet/node.py
@@ -132,6 +132,7 @@
         self.membership.replace_seeds(list_gossip_seeds(settings))
         bounds = settings.bounds
         self.forwarder.set_retry_limits(bounds.repeat_ratio, bounds.repeat_extra)
+        self.backend.set_retry_ratio(bounds.repeat_ratio)
 
     async def run(self, wait_for_stop: Callable[[], Awaitable[None]]) -> int:
         """Runs the node until it is told to stop.
@@ -257,9 +258,11 @@
     client = create_replication_client(seats, links, source)
     routes = create_route_copy()
     announcer = _BackendAnnouncer(membership)
-    backend = create_backend_server(adapter.names, announcer.announce)
-    announcer.backend = backend
     bounds = settings.bounds
+    backend = create_backend_server(
+        adapter.names, announcer.announce, bounds.repeat_ratio
+    )
+    announcer.backend = backend
     forwarder = Forwarder(
         settings.id,
         settings.host,
--- a/src/coltsfootspar/relay/backend.py
+++ b/src/coltsfootspar/relay/backend.py
@@ -8,6 +8,7 @@
 from coltsfootspar.calls import Outcome
 from coltsfootspar.exceptions import RefusedError, TransferError
 from coltsfootspar.logs import log_decision
+from coltsfootspar.relay.allowances import NOT_RUN_SHARE, RetryAllocator
 from coltsfootspar.relay.calls import (
     Call,
     HeaderNames,
@@ -33,6 +34,7 @@
 # a new one: a server may close an idle connection while the request is in flight.
 NON_IDEMPOTENT_IDLE_SECONDS = 1.0
 RESPONSE_BUFFER_BYTES = 262_144
+DEFAULT_RETRY_RATIO = 0.2
 _MISDIRECTED_REQUEST = 421
 _FIRST_SERVER_ERROR = 500
 
@@ -68,12 +70,14 @@
 class BackendServer:
     """Forwards calls to the backend server on the local host.
 
+    :param allocator: divides the retries of rejected calls among ranks.
     :param limiter: limits the calls in progress at the backend server.
     :param report: newest report; None before the first one and once it is overdue.
     """
 
     _names: HeaderNames
     _on_change: Callable[[], None]
+    allocator: RetryAllocator
     limiter: ConcurrencyLimiter = attrs.field(factory=create_concurrency_limiter)
     report: BackendReport | None = None
     _newest_order: tuple[int, int] = (-1, -1)
@@ -97,6 +101,10 @@
         """Connections opened to the current address of the backend server."""
         return self._pool.opened if self._pool is not None else 0
 
+    def set_retry_ratio(self, ratio: float) -> None:
+        """Sets the retries allowed for each call, over all nodes."""
+        self.allocator.ratio = ratio * NOT_RUN_SHARE
+
     def apply_report(self, report: BackendReport) -> None:
         """Applies a report unless a newer one has arrived.
 
@@ -230,6 +238,7 @@
 
     async def _send_request(self, outgoing: OutgoingCall) -> Reply:
         pool, call = self._pool, outgoing.call
+        self.allocator.record_call(call.rank)
         start = trio.current_time()
         headers = self._create_headers(call)
         try:
@@ -244,6 +253,7 @@
         except TransferError as error:
             return self._create_failure(outgoing, error)
         is_not_run = self._is_marked_not_run(response)
+        allowance = self._record_rejection(call) if is_not_run else None
         is_served = not is_not_run and response.status < _FIRST_SERVER_ERROR
         seconds = trio.current_time() - start if is_served else None
 
@@ -258,8 +268,14 @@
             error="backend-shed" if is_not_run else "",
             load=self.limiter.load,
             finish=finish,
+            retry_allowance=allowance,
         )
 
+    def _record_rejection(self, call: Call) -> float:
+        """Records a rejected call and returns the retries allowed for its rank."""
+        self.allocator.record_rejection(call.rank)
+        return self.allocator.compute_allowance(call.rank)
+
     def _is_marked_not_run(self, response: Response) -> bool:
         is_marked = response.find(self._names.not_run.lower()) is not None
         return is_marked or response.status == _MISDIRECTED_REQUEST
@@ -298,10 +314,14 @@
 
 
 def create_backend_server(
-    names: HeaderNames, on_change: Callable[[], None]
+    names: HeaderNames,
+    on_change: Callable[[], None],
+    retry_ratio: float = DEFAULT_RETRY_RATIO,
 ) -> BackendServer:
     """Creates a backend server that has not reported yet.
 
     :param on_change: called when it starts or stops taking work, or is replaced.
+    :param retry_ratio: retries allowed for each call, over all nodes.
     """
-    return BackendServer(names, on_change)
+    allocator = RetryAllocator(retry_ratio * NOT_RUN_SHARE)
+    return BackendServer(names, on_change, allocator)
--- a/src/coltsfootspar/relay/calls.py
+++ b/src/coltsfootspar/relay/calls.py
@@ -16,6 +16,7 @@
     "INTERNAL_HEADERS",
     "LOAD_HEADER",
     "OUTCOME_HEADER",
+    "RETRIES_HEADER",
     "Call",
     "HeaderNames",
     "PriorityClass",
@@ -24,9 +25,11 @@
     "Reply",
     "create_refusal",
     "create_reply",
+    "decode_allowance",
     "decode_call_header",
     "decode_load",
     "do_nothing",
+    "encode_allowance",
     "encode_call_header",
     "encode_load",
 ]
@@ -35,8 +38,16 @@
 OUTCOME_HEADER = b"Coltsfootspar-Outcome"
 ERROR_HEADER = b"Coltsfootspar-Error"
 LOAD_HEADER = b"Coltsfootspar-Load"
+RETRIES_HEADER = b"Coltsfootspar-Retries"
 INTERNAL_HEADERS = frozenset(
-    name.lower() for name in (CALL_HEADER, OUTCOME_HEADER, ERROR_HEADER, LOAD_HEADER)
+    name.lower()
+    for name in (
+        CALL_HEADER,
+        OUTCOME_HEADER,
+        ERROR_HEADER,
+        LOAD_HEADER,
+        RETRIES_HEADER,
+    )
 )
 _SEPARATOR = b";"
 _CALL_FIELD_COUNT = 7
@@ -134,6 +145,8 @@
     :param load: load of the backend server when the reply was created.
     :param finish: releases the connection and the slot; must be called once the body
         was read or is not needed.
+    :param retry_allowance: retries for each call of its rank that the node of the
+        backend server allows; None unless the backend server rejected the call.
     """
 
     status: int
@@ -146,6 +159,7 @@
     length: int | None = None
     load: Load | None = None
     finish: Callable[[], None] = do_nothing
+    retry_allowance: float | None = None
 
 
 @attrs.frozen
@@ -179,6 +193,7 @@
     error: str = "",
     load: Load | None = None,
     finish: Callable[[], None],
+    retry_allowance: float | None = None,
 ) -> Reply:
     """Creates a reply from a response whose body may be incomplete.
 
@@ -199,6 +214,7 @@
         response.content_length,
         load,
         finish,
+        retry_allowance,
     )
 
 
@@ -265,3 +281,17 @@
         return Load(*(int(part) for part in (value or b"").split(b"/")))
     except (ValueError, TypeError):
         return None
+
+
+def encode_allowance(allowance: float) -> bytes:
+    """Encodes the retries for each call that the sender of a reply allows."""
+    return b"%.3f" % allowance
+
+
+def decode_allowance(value: bytes | None) -> float | None:
+    """Decodes the retries allowed for each call; None when missing or malformed."""
+    try:
+        allowance = float(value) if value is not None else -1.0
+    except ValueError:
+        return None
+    return allowance if 0 <= allowance <= 1 else None
--- a/src/coltsfootspar/relay/forwarding.py
+++ b/src/coltsfootspar/relay/forwarding.py
@@ -16,6 +16,7 @@
     ERROR_HEADER,
     LOAD_HEADER,
     OUTCOME_HEADER,
+    RETRIES_HEADER,
     Call,
     HeaderNames,
     OutgoingCall,
@@ -23,6 +24,7 @@
     Reply,
     create_refusal,
     create_reply,
+    decode_allowance,
     decode_load,
     encode_call_header,
 )
@@ -205,7 +207,8 @@
             outgoing.call.deadline + PEER_GRACE_SECONDS,
             lambda: self._respond_with_failure(exchange, outgoing, state, is_late=True),
         )
-        self._retry_budget.record_request(outgoing.call.service)
+        call = outgoing.call
+        self._retry_budget.record_request(call.service, call.rank)
         while await self._try_node(exchange, route, outgoing, state):
             pass
         exchange.clear_deadline()
@@ -284,7 +287,7 @@
             and self._has_time(call)
             and self._has_untried_node(call.service, state)
             and self._retry_budget.try_spend(
-                call.service, may_have_run=state.may_have_run
+                call.service, call.rank, may_have_run=state.may_have_run
             )
         )
 
@@ -323,7 +326,14 @@
         seconds = elapsed
         if reply is not None:
             is_unresponsive = load is None
-            if reply.outcome is Outcome.NOT_RUN or is_unresponsive:
+            if reply.retry_allowance is not None:
+                self._retry_budget.set_allowance(
+                    call.service, call.rank, reply.retry_allowance
+                )
+            if reply.error == "backend-shed":
+                # Nor must a server that rejects calls.
+                seconds = max(elapsed, call.target_latency)
+            elif reply.outcome is Outcome.NOT_RUN or is_unresponsive:
                 seconds = None
             elif reply.status >= _FIRST_SERVER_ERROR:
                 # A server that fails immediately must not rank as the fastest one.
@@ -430,6 +440,7 @@
         Outcome(outcome.decode()) if outcome else Outcome.MAY_HAVE_RUN,
         error=(response.find(ERROR_HEADER.lower()) or b"").decode(),
         load=decode_load(response.find(LOAD_HEADER.lower())),
+        retry_allowance=decode_allowance(response.find(RETRIES_HEADER.lower())),
         finish=lambda: pool.return_connection(connection),
     )
 
--- a/src/coltsfootspar/relay/receiving.py
+++ b/src/coltsfootspar/relay/receiving.py
@@ -11,10 +11,12 @@
     ERROR_HEADER,
     LOAD_HEADER,
     OUTCOME_HEADER,
+    RETRIES_HEADER,
     HeaderNames,
     Reply,
     create_refusal,
     decode_call_header,
+    encode_allowance,
     encode_load,
 )
 from coltsfootspar.relay.messages import Headers, Response
@@ -76,6 +78,9 @@
             headers.append((ERROR_HEADER, reply.error.encode()))
         if reply.load is not None:
             headers.append((LOAD_HEADER, encode_load(reply.load)))
+        if reply.retry_allowance is not None:
+            allowance = encode_allowance(reply.retry_allowance)
+            headers.append((RETRIES_HEADER, allowance))
         await send_reply(exchange, reply, headers)
 
 
