Check idle servers twice a second instead of every 60 ms

Each node runs five servers, and each woke the process every 60 ms to look for callers that left, also without a request in progress. Over hundreds of hosts these wake-ups cost more than the calls. Without a request in progress a server now checks twice a second, and a request starts the short interval again; all servers of a process check at the same times.

--- a/src/coltsfootspar/relay/server.py
+++ b/src/coltsfootspar/relay/server.py
@@ -39,6 +39,9 @@
 # Interval of the checks for passed deadlines and disconnected callers. Two nodes in a
 # row have to detect within half a second that a caller has disconnected.
 CHECK_INTERVAL_SECONDS = 0.06
+# Interval of the checks while no request is in progress; only idle connections and
+# incomplete heads have time limits then.
+IDLE_CHECK_INTERVAL_SECONDS = 0.5
 _DISCARD_TIMEOUT_SECONDS = 2.0
 _FINAL_RESPONSES_SECONDS = 0.1
 _MAX_DISCARDED_BYTES = 64 << 20
@@ -301,7 +304,7 @@
     async def _serve(self, request: Request) -> None:
         exchange = Exchange(request, self)
         server = self.server
-        server.exchanges.add(exchange)
+        server.add_exchange(exchange)
         if request.find(b"expect") is not None and not request.is_complete:
             await send_all(self.sock, b"HTTP/1.1 100 Continue\r\n\r\n")
         try:
@@ -357,6 +360,7 @@
     is_draining: bool = False
     is_closing: bool = False
     _connections: set[_Connection] = attrs.field(factory=set)
+    _has_work: trio.Event = attrs.field(factory=trio.Event)
 
     async def serve(
         self,
@@ -419,9 +423,28 @@
             self._connections.discard(connection)
             sock.close()
 
+    def add_exchange(self, exchange: Exchange) -> None:
+        """Adds a request in progress to the periodic checks."""
+        self.exchanges.add(exchange)
+        self._has_work.set()
+
+    async def _wait_for_check(self) -> None:
+        """Waits until the next periodic check.
+
+        All servers of a process check at the same times, so that they wake it up
+        together.
+        """
+        if not self.exchanges:
+            self._has_work = trio.Event()
+            with trio.move_on_at(find_next(IDLE_CHECK_INTERVAL_SECONDS)) as scope:
+                await self._has_work.wait()
+            if scope.cancelled_caught:
+                return
+        await trio.sleep_until(find_next(CHECK_INTERVAL_SECONDS))
+
     async def _run_checks(self) -> None:
         while True:
-            await trio.sleep(CHECK_INTERVAL_SECONDS)
+            await self._wait_for_check()
             self._cancel_disconnected()
             now = trio.current_time()
             for exchange in self.exchanges:
@@ -438,6 +461,11 @@
             by_descriptor[descriptor].cancel_if_disconnected()
 
 
+def find_next(interval: float) -> float:
+    """Returns the next multiple of an interval, trio clock, seconds."""
+    return (math.floor(trio.current_time() / interval) + 1) * interval
+
+
 def create_relay_server(handler: Handler) -> RelayServer:
     """Creates a server.
 
--- a/src/coltsfootspar/relay/tests/test_server.py
+++ b/src/coltsfootspar/relay/tests/test_server.py
@@ -8,7 +8,7 @@
 import trio
 import trio.lowlevel
 
-from coltsfootspar.relay import create_relay_server
+from coltsfootspar.relay import RelayServer, create_relay_server
 from coltsfootspar.routes import ClientLimits
 from coltsfootspar.wire import Address
 
@@ -176,3 +176,37 @@
     """Guards against limits that change while connections use them."""
     with pytest.raises(attrs.exceptions.FrozenInstanceError):
         ClientLimits().header_bytes = 1
+
+
+async def test_idle_server_wakes_up_rarely(harness, monkeypatch):
+    """Guards against idle nodes whose wake-ups add up over hundreds of hosts."""
+    checks = []
+    monkeypatch.setattr(
+        RelayServer, "_cancel_disconnected", lambda server: checks.append(server)
+    )
+    await start_server(harness, echo)
+    start = trio.current_time()
+    await trio.sleep(1.5)
+    seconds = trio.current_time() - start
+    assert len(checks) <= 2 * seconds + 1
+
+
+async def test_busy_server_detects_a_disconnect_within_half_a_second(harness):
+    """Guards against work for a caller that left while the server was idle before."""
+    started, cancelled_at = trio.Event(), []
+
+    async def wait(exchange):
+        started.set()
+        try:
+            await trio.sleep_forever()
+        finally:
+            cancelled_at.append(trio.current_time())
+
+    _, address = await start_server(harness, wait)
+    await trio.sleep(0.7)
+    async with await trio.open_tcp_stream(address.host, address.port) as stream:
+        await stream.send_all(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+        await started.wait()
+    with trio.fail_after(20):
+        while not cancelled_at:  # noqa: ASYNC110
+            await trio.sleep(0.01)
