Choose a node in constant time, and try servers again that were slow

A choice walked over all candidates several times: 99 us with 62 of them, a quarter of what a call costs otherwise. It now draws up to six random candidates of the local and then of the remote data centres, which are divided only when the membership changes; the lowest latency of a service is looked up twice a second. Only when the draws find no two available ones are all checked.

A server that was slow kept its latency for as long as nobody called it, so a data centre with one server of a service sent its calls elsewhere for good after a slow spell. A latency without observations for two seconds now approaches the mean of the service, and the next observation counts half.

Choice with 4, 32, 62 candidates: 6.9, 59, 99 us before; 3.8, 5.2, 5.8 us after. test_recovered_server_regains_its_preference and test_cost_of_a_choice_does_not_grow failed before; a property test compares with all candidates. The tests of the relay pass (82 passed, 1 expected failure).

--- a/src/coltsfootspar/relay/placement.py
+++ b/src/coltsfootspar/relay/placement.py
@@ -5,6 +5,7 @@
 temporarily ejects nodes that have just failed.
 """
 
+import math
 import random
 from collections.abc import Sequence
 
@@ -33,7 +34,16 @@
 # reply from any of its nodes in between: it may be partitioned.
 CENTRE_FAILED_NODES = 2
 CENTRE_EJECTION_SECONDS = 0.6
+LOWEST_LATENCY_TTL_SECONDS = 0.5
+# Up to this many candidates are all checked for availability; of more, some are drawn.
+_MAX_FILTERED_CANDIDATES = 4
+_MAX_DRAWS = 6
 _LATENCY_EWMA_WEIGHT = 0.1
+# An older latency approaches the mean of the service by half in each such time, so
+# that a server which was slow is tried again.
+LATENCY_TTL_SECONDS = 2.0
+_OUTDATED_LATENCY_EWMA_WEIGHT = 0.5
+_MEAN_LATENCY_EWMA_WEIGHT = 0.02
 _INITIAL_LATENCY_SECONDS = 0.05
 
 
@@ -43,6 +53,8 @@
 
     :param in_flight: calls that the local node sent to it and that have not ended.
     :param latency: exponentially weighted moving average, seconds.
+    :param latency_at: time of the latest observation, trio clock, seconds; minus
+        infinity before the first.
     :param load: load that the latest reply reported.
     :param load_at: time of that reply, trio clock, seconds.
     :param ejected_until: end of its ejection, trio clock, seconds.
@@ -50,22 +62,47 @@
 
     in_flight: int = 0
     latency: float = _INITIAL_LATENCY_SECONDS
+    latency_at: float = -float("inf")
     load: Load | None = None
     load_at: float = -float("inf")
     consecutive_failures: int = 0
     ejected_until: float = -float("inf")
 
 
+@attrs.define(eq=False)
+class _Pool:
+    """Candidates of a service that are not leaving, by data centre.
+
+    :param source: sequence that they were taken from.
+    :param lowest_latency: latency of the fastest available node, seconds.
+    :param lowest_latency_at: time at which it was found, trio clock, seconds.
+    """
+
+    source: Sequence[Candidate]
+    local: list[Candidate] = attrs.field(factory=list)
+    remote: list[Candidate] = attrs.field(factory=list)
+    lowest_latency: float = _INITIAL_LATENCY_SECONDS
+    lowest_latency_at: float = -float("inf")
+
+    def list_all(self) -> list[Candidate]:
+        """Returns the candidates of all data centres."""
+        return self.local + self.remote
+
+
 @attrs.define(eq=False)
 class Placement:
     """Chooses a node for each call by the power of two choices.
 
-    Compares two random candidates by latency, load and data centre.
+    Compares two random candidates by latency, load and data centre. The cost of a
+    choice does not grow with the number of candidates.
     """
 
     _data_centre: str
     _random: random.Random
     _stats: dict[str, _NodeStats] = attrs.field(factory=dict)
+    _pools: dict[str, _Pool] = attrs.field(factory=dict)
+    # Moving averages by service, seconds.
+    _mean_latencies: dict[str, float] = attrs.field(factory=dict)
     _failed_nodes: dict[str, set[str]] = attrs.field(factory=dict)
     _centres_ejected_until: dict[str, float] = attrs.field(factory=dict)
 
@@ -79,26 +116,21 @@
         :param tried: ids of the nodes that the call was already sent to.
         :returns: None when no candidate is left.
         """
+        pool = self._get_pool(candidates)
         now = trio.current_time()
-        untried = [
-            candidate
-            for candidate in candidates
-            if not candidate.is_leaving and candidate.node_id not in tried
-        ]
-        if not untried:
-            return None
-        available = [c for c in untried if self._get_ejection_end(c) <= now]
-        if not available:
-            return min(untried, key=self._get_ejection_end)
-        local = [c for c in available if c.data_centre == self._data_centre]
-        if local:
-            best = self._pick_of_two(local, now)
+        local = self._draw(pool.local, tried, now)
+        if local is not None:
             # After a failure, a retry stays local: the other nodes of the remote
             # data centre may fail as well.
-            is_only_choice = len(local) == len(available) or bool(tried)
-            if is_only_choice or self._is_preferred(best, available, now):
-                return best
-        return self._pick_of_two(available, now)
+            if not pool.remote or tried or self._is_preferred(local, pool, now):
+                return local
+            drawn = [local, self._draw(pool.remote, tried, now)]
+            return self._pick_cheapest([c for c in drawn if c is not None], now)
+        remote = self._draw(pool.remote, tried, now)
+        if remote is not None:
+            return remote
+        untried = [c for c in pool.list_all() if c.node_id not in tried]
+        return min(untried, key=self._get_ejection_end, default=None)
 
     def record_start(self, candidate: Candidate) -> None:
         """Counts a call as in flight to a node."""
@@ -117,13 +149,38 @@
         stats = self._get_stats(candidate.node_id)
         stats.in_flight -= 1
         if seconds is not None:
-            stats.latency += (seconds - stats.latency) * _LATENCY_EWMA_WEIGHT
+            self._record_latency(candidate, stats, seconds)
         if load is not None:
             stats.load, stats.load_at = load, trio.current_time()
             stats.consecutive_failures = 0
             self._failed_nodes.pop(candidate.data_centre, None)
             self._centres_ejected_until.pop(candidate.data_centre, None)
 
+    def _record_latency(
+        self, candidate: Candidate, stats: _NodeStats, seconds: float
+    ) -> None:
+        now = trio.current_time()
+        is_outdated = now - LATENCY_TTL_SECONDS > stats.latency_at > -math.inf
+        weight = _OUTDATED_LATENCY_EWMA_WEIGHT if is_outdated else _LATENCY_EWMA_WEIGHT
+        latency = self._get_latency(candidate, now)
+        stats.latency, stats.latency_at = latency + (seconds - latency) * weight, now
+        mean = self._mean_latencies.get(candidate.service, seconds)
+        self._mean_latencies[candidate.service] = (
+            mean + (seconds - mean) * _MEAN_LATENCY_EWMA_WEIGHT
+        )
+
+    def _get_latency(self, candidate: Candidate, now: float) -> float:
+        """Returns the expected latency of a node, seconds.
+
+        Without recent observations it approaches the mean of the service.
+        """
+        stats = self._get_stats(candidate.node_id)
+        overdue = now - stats.latency_at - LATENCY_TTL_SECONDS
+        if overdue <= 0 or overdue == math.inf:
+            return stats.latency
+        mean = self._mean_latencies.get(candidate.service, _INITIAL_LATENCY_SECONDS)
+        return mean + (stats.latency - mean) * 0.5 ** (overdue / LATENCY_TTL_SECONDS)
+
     def eject(self, candidate: Candidate, *, is_unresponsive: bool) -> None:
         """Ejects a failed node, with exponential backoff on consecutive failures.
 
@@ -157,30 +214,89 @@
             node_end, self._centres_ejected_until.get(candidate.data_centre, node_end)
         )
 
-    def _is_preferred(
-        self, local: Candidate, available: list[Candidate], now: float
-    ) -> bool:
+    def _get_pool(self, candidates: Sequence[Candidate]) -> _Pool:
+        """Returns the candidates of a service by data centre.
+
+        They are divided again only when the sequence is another one.
+        """
+        service = candidates[0].service if candidates else ""
+        pool = self._pools.get(service)
+        if pool is None or pool.source is not candidates:
+            pool = self._pools[service] = _Pool(candidates)
+            for candidate in candidates:
+                if candidate.is_leaving:
+                    continue
+                is_local = candidate.data_centre == self._data_centre
+                (pool.local if is_local else pool.remote).append(candidate)
+        return pool
+
+    def _draw(
+        self, candidates: list[Candidate], tried: set[str], now: float
+    ) -> Candidate | None:
+        """Returns the cheaper of two random available candidates.
+
+        :returns: None when none is available.
+        """
+        if len(candidates) <= _MAX_FILTERED_CANDIDATES:
+            available = self._filter_available(candidates, tried, now)
+            return self._pick_of_two(available, now)
+        drawn = []
+        # Most candidates are available, so few draws find two of them.
+        for _ in range(_MAX_DRAWS):
+            candidate = candidates[int(self._random.random() * len(candidates))]
+            if candidate not in drawn and self._is_available(candidate, tried, now):
+                drawn.append(candidate)
+                if len(drawn) == 2:
+                    return self._pick_cheapest(drawn, now)
+        available = self._filter_available(candidates, tried, now)
+        return self._pick_of_two(available, now)
+
+    def _filter_available(
+        self, candidates: list[Candidate], tried: set[str], now: float
+    ) -> list[Candidate]:
+        return [c for c in candidates if self._is_available(c, tried, now)]
+
+    def _is_available(self, candidate: Candidate, tried: set[str], now: float) -> bool:
+        return (
+            candidate.node_id not in tried and self._get_ejection_end(candidate) <= now
+        )
+
+    def _is_preferred(self, local: Candidate, pool: _Pool, now: float) -> bool:
         """Tells whether a local node has spare capacity and is not slow."""
         if self._compute_load(local, now) >= SPILLOVER_LOAD:
             return False
-        latency = self._get_stats(local.node_id).latency
-        best = min(self._get_stats(c.node_id).latency for c in available)
+        latency = self._get_latency(local, now)
+        best = self._find_lowest_latency(pool, now)
         return latency <= SLOW_FACTOR * (best + REMOTE_PENALTY_SECONDS)
 
+    def _find_lowest_latency(self, pool: _Pool, now: float) -> float:
+        """Returns the latency of the fastest available node, seconds."""
+        if now - pool.lowest_latency_at >= LOWEST_LATENCY_TTL_SECONDS:
+            available = self._filter_available(pool.list_all(), set(), now)
+            latencies = [self._get_latency(c, now) for c in available]
+            pool.lowest_latency = min(latencies, default=_INITIAL_LATENCY_SECONDS)
+            pool.lowest_latency_at = now
+        return pool.lowest_latency
+
     def _get_stats(self, node_id: str) -> _NodeStats:
         stats = self._stats.get(node_id)
         if stats is None:
             stats = self._stats[node_id] = _NodeStats()
         return stats
 
-    def _pick_of_two(self, candidates: list[Candidate], now: float) -> Candidate:
-        """Returns the cheaper of two random candidates."""
+    def _pick_of_two(self, candidates: list[Candidate], now: float) -> Candidate | None:
+        """Returns the cheaper of two random candidates; None when there are none."""
         if len(candidates) > 2:
             candidates = self._random.sample(candidates, 2)
-        return min(candidates, key=lambda c: self._compute_cost(c, now))
+        return self._pick_cheapest(candidates, now)
+
+    def _pick_cheapest(
+        self, candidates: list[Candidate], now: float
+    ) -> Candidate | None:
+        return min(candidates, key=lambda c: self._compute_cost(c, now), default=None)
 
     def _compute_cost(self, candidate: Candidate, now: float) -> float:
-        cost = self._get_stats(candidate.node_id).latency
+        cost = self._get_latency(candidate, now)
         cost *= 1 + self._compute_load(candidate, now)
         if candidate.data_centre != self._data_centre:
             cost += REMOTE_PENALTY_SECONDS
--- a/src/coltsfootspar/relay/tests/test_decisions.py
+++ b/src/coltsfootspar/relay/tests/test_decisions.py
@@ -6,6 +6,8 @@
 import attrs
 import pytest
 import trio
+import trio.testing
+from hypothesis import given, settings, strategies as st
 
 from coltsfootspar.exceptions import RefusedError
 from coltsfootspar.relay import (
@@ -165,6 +167,79 @@
     assert chosen <= {"n1", "n2"}
 
 
+async def test_recovered_server_regains_its_preference(autojump_clock):
+    """Guards against calls to other data centres long after a server was slow."""
+    placement = create_placement("a", random.Random(1))
+    candidates = list_candidates("a", "b", "b")
+
+    def observe(candidate, seconds):
+        placement.record_start(candidate)
+        placement.record_end(candidate, seconds, Load(1, 10, 0))
+
+    for _ in range(30):
+        observe(candidates[0], 1.5)
+    local = 0
+    for _ in range(200):
+        chosen = placement.choose(candidates, set())
+        observe(chosen, 0.1)
+        local += chosen.data_centre == "a"
+        await trio.sleep(0.1)
+    assert local > 50
+
+
+@pytest.mark.parametrize("count", [8, 62, 600])
+async def test_cost_of_a_choice_does_not_grow(autojump_clock, monkeypatch, count):
+    """Guards against choices that take longer the more servers a service has."""
+    placement = create_placement("a", random.Random(1))
+    places = ["a" if index % 6 == 0 else "b" for index in range(count)]
+    candidates = list_candidates(*places)
+    look_ups = []
+    get_stats = type(placement)._get_stats
+
+    def count_look_ups(placement, node_id):
+        look_ups.append(node_id)
+        return get_stats(placement, node_id)
+
+    monkeypatch.setattr(type(placement), "_get_stats", count_look_ups)
+    placement.choose(candidates, set())
+    look_ups.clear()
+    for _ in range(100):
+        placement.choose(candidates, set())
+    assert len(look_ups) <= 100 * 12
+
+
+@settings(derandomize=True, max_examples=200)
+@given(
+    st.lists(st.tuples(st.sampled_from("abc"), st.booleans(), st.booleans())),
+    st.sets(st.integers(0, 12), max_size=4),
+)
+def test_choice_is_available_if_there_is_one(places, tried_indexes):
+    """Guards against calls to ejected or leaving nodes while others are available."""
+
+    async def main():
+        placement = create_placement("a", random.Random(1))
+        candidates = [
+            Candidate(f"n{index}", "wallet", "r", place, 10, is_leaving)
+            for index, (place, is_leaving, _) in enumerate(places)
+        ]
+        ejected = {f"n{i}" for i, (_, _, is_bad) in enumerate(places) if is_bad}
+        for candidate in candidates:
+            if candidate.node_id in ejected:
+                placement.eject(candidate, is_unresponsive=False)
+        tried = {f"n{index}" for index in tried_indexes}
+        usable = {
+            c.node_id for c in candidates if not c.is_leaving and c.node_id not in tried
+        }
+        for _ in range(5):
+            choice = placement.choose(candidates, tried)
+            if usable:
+                assert choice.node_id in (usable - ejected or usable)
+            else:
+                assert choice is None
+
+    trio.run(main, clock=trio.testing.MockClock())
+
+
 async def test_partitioned_data_centre_is_ejected_as_a_whole(autojump_clock):
     """Guards against a timeout for each host of a partitioned data centre."""
     placement = create_placement("a", random.Random(1))
