Name the relay's modules after what they hold; split connections from the server

gate, repeats and shares of the relay held the concurrency limiter, the retry budget and the traffic splitter.

--- a/src/coltsfootspar/relay/__init__.py
+++ b/src/coltsfootspar/relay/__init__.py
@@ -6,13 +6,14 @@
     create_backend_server,
 )
 from coltsfootspar.relay.calls import Call, HeaderNames, Load, PriorityClass, Reply
+from coltsfootspar.relay.connections import Exchange
 from coltsfootspar.relay.forwarding import Forwarder, RelayCounters
-from coltsfootspar.relay.gate import ConcurrencyLimiter, create_concurrency_limiter
+from coltsfootspar.relay.limiter import ConcurrencyLimiter, create_concurrency_limiter
 from coltsfootspar.relay.placement import Placement, create_placement
 from coltsfootspar.relay.receiving import CallReceiver
-from coltsfootspar.relay.repeats import RetryBudget, create_retry_budget
-from coltsfootspar.relay.server import Exchange, RelayServer, create_relay_server
-from coltsfootspar.relay.shares import TrafficSplitter
+from coltsfootspar.relay.retries import RetryBudget, create_retry_budget
+from coltsfootspar.relay.server import RelayServer, create_relay_server
+from coltsfootspar.relay.splitting import TrafficSplitter
 
 __all__ = [
     "BackendReport",
--- a/src/coltsfootspar/relay/backend.py
+++ b/src/coltsfootspar/relay/backend.py
@@ -19,7 +19,7 @@
     do_nothing,
 )
 from coltsfootspar.relay.client import MAX_IDLE_SECONDS, ConnectionPool
-from coltsfootspar.relay.gate import ConcurrencyLimiter, create_concurrency_limiter
+from coltsfootspar.relay.limiter import ConcurrencyLimiter, create_concurrency_limiter
 from coltsfootspar.relay.messages import Headers, Response
 from coltsfootspar.relay.outgoing import encode_outgoing_call
 from coltsfootspar.wire import Address
--- /dev/null
+++ b/src/coltsfootspar/relay/connections.py
@@ -0,0 +1,345 @@
+"""Connections of callers and the requests on them."""
+
+import math
+import socket
+from collections.abc import Awaitable, Callable
+from typing import Protocol
+
+import attrs
+import trio
+from absl import logging
+
+from coltsfootspar.exceptions import (
+    MalformedRequestError,
+    TooLargeError,
+    TransferError,
+)
+from coltsfootspar.relay.messages import (
+    LAST_CHUNK,
+    Headers,
+    Request,
+    RequestReader,
+    Response,
+    encode_chunk,
+    encode_response,
+)
+from coltsfootspar.relay.sockets import peek, receive, send_all, wait_readable
+from coltsfootspar.routes import ClientLimits
+
+__all__ = ["Connection", "ConnectionOwner", "Exchange", "Handler"]
+
+_DISCARD_TIMEOUT_SECONDS = 2.0
+_MAX_DISCARDED_BYTES = 64 << 20
+_CLOSE_HEADERS: Headers = [(b"Connection", b"close")]
+
+
+class ConnectionOwner(Protocol):
+    """Server that a connection belongs to.
+
+    :param exchanges: requests in progress.
+    :param is_draining: true when connections close after the next response.
+    :param is_closing: true when no further requests are read.
+    """
+
+    handler: "Handler"
+    limits: ClientLimits
+    exchanges: set["Exchange"]
+    is_draining: bool
+    is_closing: bool
+
+    def add_exchange(self, exchange: "Exchange") -> None:
+        """Adds a request in progress."""
+
+
+@attrs.define(eq=False)
+class Exchange:
+    """A request on one connection and the response to it.
+
+    :param request: the request; its body may be incomplete.
+    :param cancel_scope: cancelled when the caller disconnects or the deadline passes.
+    :param has_answered: true once a response has been started.
+    :param has_disconnected: true once the caller has closed the connection.
+    :param deadline: trio clock, seconds.
+    :param on_deadline: sends the response when the deadline ends the handler.
+    """
+
+    request: Request
+    _connection: "Connection"
+    cancel_scope: trio.CancelScope = attrs.field(factory=trio.CancelScope)
+    has_answered: bool = False
+    has_disconnected: bool = False
+    deadline: float = math.inf
+    on_deadline: Callable[[], Awaitable[None]] | None = None
+
+    @property
+    def caller_host(self) -> str:
+        """IP address of the caller."""
+        return self._connection.caller_host
+
+    async def buffer_body(self, limit: int) -> None:
+        """Reads the body until it is complete or longer than a limit.
+
+        :param limit: bytes.
+        :raises TransferError: when the caller disconnects.
+        :raises TooLargeError: when the body exceeds the limit for clients.
+        """
+        request = self.request
+        while not request.is_complete and request.received_bytes <= limit:
+            await self._connection.read_more(request)
+
+    async def read_body(self) -> bytes:
+        """Reads the next piece of the body; empty at its end.
+
+        :raises TransferError: when the caller disconnects.
+        :raises TooLargeError: when the body exceeds the limit for clients.
+        """
+        request = self.request
+        while not request.body_parts and not request.is_complete:
+            await self._connection.read_more(request)
+        return request.take_body()
+
+    async def answer(
+        self, status: int, headers: Headers, body: bytes, reason: bytes = b""
+    ) -> None:
+        """Sends a complete response.
+
+        :raises TransferError: when the caller has disconnected.
+        """
+        self.has_answered = True
+        if not self._keeps_connection():
+            headers = headers + _CLOSE_HEADERS
+        data = encode_response(status, headers, body, reason)
+        await send_all(self._connection.sock, data)
+
+    async def stream_response(
+        self,
+        response: Response,
+        headers: Headers,
+        read: Callable[[], Awaitable[bytes]],
+    ) -> None:
+        """Sends a response and streams its body.
+
+        :param read: returns the next piece of the body; empty at its end.
+        :raises TransferError: when either connection ends early; the caller can then
+            detect that the response is incomplete.
+        """
+        self.has_answered = True
+        length = response.content_length
+        if length is not None:
+            headers = [*headers, (b"Content-Length", b"%d" % length)]
+        else:
+            headers = [*headers, (b"Transfer-Encoding", b"chunked")]
+        if not self._keeps_connection():
+            headers += _CLOSE_HEADERS
+        connection = self._connection
+        connection.is_broken = True
+        head = encode_response(response.status, headers, None, response.reason)
+        await send_all(connection.sock, head)
+        while data := await read():
+            await send_all(connection.sock, data if length else encode_chunk(data))
+        if length is None:
+            await send_all(connection.sock, LAST_CHUNK)
+        connection.is_broken = False
+
+    def _keeps_connection(self) -> bool:
+        request, server = self.request, self._connection.server
+        if server.is_draining or not request.keeps_connection:
+            self._connection.is_last_request = True
+            return False
+        return True
+
+    def set_deadline(
+        self,
+        deadline: float,
+        on_deadline: Callable[[], Awaitable[None]] | None = None,
+    ) -> None:
+        """Cancels the handler soon after a deadline, until :meth:`clear_deadline`.
+
+        The periodic checks of the server cost less than deadlines of cancel scopes.
+
+        :param deadline: trio clock, seconds.
+        :param on_deadline: sends the response in place of the handler; None closes the
+            connection instead.
+        """
+        self.on_deadline = on_deadline
+        self.deadline = deadline
+
+    def clear_deadline(self) -> None:
+        """Removes the deadline, so that the handler may finish."""
+        self.deadline = math.inf
+
+    @property
+    def descriptor(self) -> int:
+        """File descriptor of the connection."""
+        return self._connection.sock.fileno()
+
+    def cancel_if_disconnected(self) -> None:
+        """Cancels the exchange if the caller has closed the connection."""
+        if peek(self._connection.sock) == b"":
+            self.has_disconnected = True
+            self.cancel_scope.cancel()
+
+    @property
+    def is_deadline_exceeded(self) -> bool:
+        """True when the deadline ended the handler before it sent a response."""
+        was_cancelled = self.cancel_scope.cancelled_caught and not self.has_disconnected
+        return was_cancelled and not self.has_answered and self.on_deadline is not None
+
+
+Handler = Callable[[Exchange], Awaitable[None]]
+
+
+@attrs.define(eq=False)
+class Connection:
+    """An accepted connection.
+
+    :param is_last_request: true when the connection closes after the response.
+    :param is_broken: true when the connection can carry no further response.
+    :param is_idle: true while no byte of a request has been received.
+    :param waiting_since: start of the idle time or of the incomplete head, trio
+        clock, seconds.
+    """
+
+    server: ConnectionOwner
+    sock: socket.socket
+    caller_host: str
+    reader: RequestReader = attrs.field(factory=RequestReader)
+    is_last_request: bool = False
+    is_broken: bool = False
+    is_idle: bool = True
+    waiting_since: float = attrs.field(factory=trio.current_time)
+    is_reading_head: bool = False
+    is_head_timed_out: bool = False
+    cancel_scope: trio.CancelScope = attrs.field(factory=trio.CancelScope)
+
+    async def run(self) -> None:
+        """Serves requests until either side closes the connection."""
+        with self.cancel_scope:
+            while not self.is_last_request and not self.is_broken:
+                request = await self._read_request()
+                if request is None:
+                    return
+                await self._serve(request)
+        if self.is_head_timed_out:
+            await self._reject(408)
+
+    def enforce_read_timeouts(self, now: float) -> None:
+        """Closes a connection that is idle or receives a head for too long.
+
+        :param now: trio clock, seconds.
+        """
+        limits = self.server.limits
+        if self.is_idle:
+            if now - self.waiting_since > limits.idle_seconds:
+                self.close_idle()
+        elif self.is_reading_head and now - self.waiting_since > limits.header_seconds:
+            self.is_head_timed_out = True
+            self.cancel_scope.cancel()
+
+    def close_idle(self) -> None:
+        """Closes the connection unless a request has started or is waiting unread."""
+        if self.is_idle and peek(self.sock) is None:
+            self.cancel_scope.cancel()
+
+    async def read_more(self, request: Request) -> None:
+        """Reads more of the body of a request.
+
+        :raises TransferError: when the caller disconnects.
+        :raises TooLargeError: when the body exceeds the limit for clients.
+        """
+        data = await receive(self.sock)
+        if not data:
+            self.is_broken = True
+            raise TransferError(
+                "the caller disconnected", may_have_run=True, code="left"
+            )
+        try:
+            self.reader.feed(data)
+        except MalformedRequestError:
+            self.is_broken = True
+            raise
+        if request.received_bytes > self.server.limits.body_bytes:
+            self.is_broken = True
+            raise TooLargeError("the request body exceeds the limit")
+
+    async def _read_request(self) -> Request | None:
+        messages = self.reader.messages
+        self.is_idle, self.is_reading_head = not messages, True
+        self.waiting_since = trio.current_time()
+        if self.is_idle and self.server.is_closing:
+            return None
+        try:
+            if self.is_idle:
+                await wait_readable(self.sock)
+            while not messages:
+                if not await self._read_input():
+                    return None
+            if not messages[0].has_head:
+                self.is_idle, self.waiting_since = False, trio.current_time()
+                while not messages[0].has_head:
+                    if not await self._read_input():
+                        return None
+            self.is_idle = self.is_reading_head = False
+        except MalformedRequestError as error:
+            logging.info("Connection closed: %s", error)
+            await self._reject(400)
+            return None
+        except TooLargeError:
+            await self._reject(431)
+            return None
+        request = messages.popleft()
+        request.arrived_at = trio.current_time()
+        return request
+
+    async def _read_input(self) -> bool:
+        data = await receive(self.sock)
+        if not data:
+            return False
+        self.reader.feed(data)
+        if self.reader.head_bytes > self.server.limits.header_bytes:
+            raise TooLargeError("the request head exceeds the limit")
+        return True
+
+    async def _reject(self, status: int) -> None:
+        await send_all(self.sock, encode_response(status, _CLOSE_HEADERS, b""))
+        await self._discard_input()
+
+    async def _serve(self, request: Request) -> None:
+        exchange = Exchange(request, self)
+        server = self.server
+        server.add_exchange(exchange)
+        if request.find(b"expect") is not None and not request.is_complete:
+            await send_all(self.sock, b"HTTP/1.1 100 Continue\r\n\r\n")
+        try:
+            with exchange.cancel_scope:
+                await server.handler(exchange)
+            if exchange.is_deadline_exceeded:
+                await exchange.on_deadline()
+        finally:
+            server.exchanges.discard(exchange)
+        if not exchange.has_answered:
+            self.is_broken = True
+        elif not request.is_complete and not self.is_broken:
+            await self._discard_body(request)
+
+    async def _discard_body(self, request: Request) -> None:
+        """Reads and discards the rest of a request body.
+
+        Closing a connection with unread data resets it, and the response could be
+        lost.
+        """
+        with trio.move_on_after(_DISCARD_TIMEOUT_SECONDS) as cancel_scope:
+            while (
+                not request.is_complete
+                and request.received_bytes < _MAX_DISCARDED_BYTES
+            ):
+                await self.read_more(request)
+                request.take_body()
+        if cancel_scope.cancelled_caught or not request.is_complete:
+            self.is_broken = True
+
+    async def _discard_input(self) -> None:
+        self.sock.shutdown(socket.SHUT_WR)
+        with trio.move_on_after(_DISCARD_TIMEOUT_SECONDS):
+            while await receive(self.sock):
+                pass
--- a/src/coltsfootspar/relay/forwarding.py
+++ b/src/coltsfootspar/relay/forwarding.py
@@ -29,13 +29,13 @@
     encode_call_header,
 )
 from coltsfootspar.relay.client import ClientConnection, ConnectionPool, OutgoingRequest
+from coltsfootspar.relay.connections import Exchange
 from coltsfootspar.relay.messages import Response
 from coltsfootspar.relay.outgoing import create_outgoing_call, encode_outgoing_call
 from coltsfootspar.relay.placement import Placement
 from coltsfootspar.relay.receiving import send_reply
-from coltsfootspar.relay.repeats import RetryBudget
-from coltsfootspar.relay.server import Exchange
-from coltsfootspar.relay.shares import TrafficSplitter
+from coltsfootspar.relay.retries import RetryBudget
+from coltsfootspar.relay.splitting import TrafficSplitter
 from coltsfootspar.routes import Route, RouteMatcher
 from coltsfootspar.routing import Candidate
 from coltsfootspar.wire import Address
--- a/src/coltsfootspar/relay/outgoing.py
+++ b/src/coltsfootspar/relay/outgoing.py
@@ -2,8 +2,8 @@
 
 from coltsfootspar.relay.calls import Call, HeaderNames, OutgoingCall
 from coltsfootspar.relay.client import OutgoingRequest, StreamedBody
+from coltsfootspar.relay.connections import Exchange
 from coltsfootspar.relay.messages import Headers, encode_request, filter_headers
-from coltsfootspar.relay.server import Exchange
 
 __all__ = ["create_outgoing_call", "encode_outgoing_call"]
 
--- a/src/coltsfootspar/relay/receiving.py
+++ b/src/coltsfootspar/relay/receiving.py
@@ -19,9 +19,9 @@
     encode_allowance,
     encode_load,
 )
+from coltsfootspar.relay.connections import Exchange
 from coltsfootspar.relay.messages import Headers, Response
 from coltsfootspar.relay.outgoing import create_outgoing_call
-from coltsfootspar.relay.server import Exchange
 
 __all__ = ["CallReceiver", "send_reply"]
 
