--- /dev/null
+++ b/src/coltsfootspar/relay/tests/test_reused_connections.py
@@ -0,0 +1,141 @@
+"""Tests of responses that arrive on a connection which is idle or used again."""
+
+import contextlib
+import itertools
+
+import pytest
+import trio
+from hypothesis import given, settings, strategies as st
+
+from coltsfootspar.exceptions import MalformedRequestError
+from coltsfootspar.relay.messages import (
+    MAX_FRAMING_BYTES,
+    RequestReader,
+    ResponseReader,
+)
+from coltsfootspar.routes import Repetition, RouteTable, Service
+
+from .conftest import NAMES, create_route, encode_get, send_and_read
+
+
+def encode_answer(request_id: bytes, body: bytes) -> bytes:
+    return b"HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s" % (
+        NAMES.request_id,
+        request_id,
+        len(body),
+        body,
+    )
+
+
+def find_request_id(head: bytes) -> bytes:
+    return head.split(NAMES.request_id + b": ")[1].split(b"\r\n")[0]
+
+
+@pytest.mark.parametrize("repetition", list(Repetition))
+@pytest.mark.parametrize("pause", [0.0, 0.02, 0.2])
+async def test_second_copy_of_a_response_reaches_no_caller(harness, repetition, pause):
+    """Guards against a late copy that answers the next request on the connection.
+
+    The copy arrives at once, while the connection is idle, or after it was taken.
+    """
+    lock = trio.Lock()
+    async with trio.open_nursery() as nursery:
+
+        async def answer_twice(stream, head):
+            request_id = find_request_id(head)
+            answer = encode_answer(request_id, b"for " + request_id)
+            async with lock:
+                await stream.send_all(answer)
+
+            async def send_copy():
+                await trio.sleep(pause)
+                # The node may have closed the connection meanwhile.
+                with contextlib.suppress(
+                    trio.ClosedResourceError, trio.BrokenResourceError
+                ):
+                    async with lock:
+                        await stream.send_all(answer)
+
+            nursery.start_soon(send_copy)
+
+        server = await harness.add_server(answer_twice)
+        await harness.add_node("n1", server.address)
+        route = create_route(repetition=repetition)
+        harness.routes.table = RouteTable(1, 0, (route,), (Service("wallet", 9),))
+        _, _, entry = await harness.add_entry_node()
+        for index in range(12):
+            request_id = f"r{index}"
+            answer = await send_and_read(entry, encode_get(request_id=request_id))
+            is_own = answer.endswith(f"\r\n\r\nfor {request_id}".encode())
+            # A copy that meets a request in progress may end its connection.
+            assert is_own or answer.startswith(b"HTTP/1.1 502")
+            await trio.sleep(0.005 * index)
+        ids = [find_request_id(head) for head in server.heads]
+        if repetition is Repetition.ONCE:
+            assert len(ids) == len(set(ids))
+
+
+MESSAGES = {
+    RequestReader: (
+        b"POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabc"
+        b"POST /b HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+        b"2\r\nab\r\n1\r\nc\r\n0\r\nX-Trailer: 1\r\n\r\n"
+        b"GET /c HTTP/1.1\r\nHost: a\r\n\r\n"
+    ),
+    ResponseReader: (
+        b"HTTP/1.1 100 Continue\r\n\r\n"
+        b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc"
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        b"3;x=y\r\nabc\r\n0\r\n\r\n"
+        b"HTTP/1.1 204 No\r\n\r\n"
+    ),
+}
+
+
+def read_messages(reader_type, pieces):
+    reader = reader_type()
+    for piece in pieces:
+        reader.feed(piece)
+    return [
+        (message.headers, message.take_body(), message.is_complete)
+        for message in reader.messages
+    ]
+
+
+@settings(derandomize=True, max_examples=200)
+@given(st.sampled_from(list(MESSAGES)), st.data())
+def test_messages_do_not_depend_on_how_they_are_split(reader_type, data):
+    """Guards against a message that is misread when it arrives in pieces."""
+    whole = MESSAGES[reader_type]
+    cuts = sorted(data.draw(st.sets(st.integers(1, len(whole) - 1))))
+    bounds = [0, *cuts, len(whole)]
+    pieces = [whole[start:end] for start, end in itertools.pairwise(bounds)]
+    assert read_messages(reader_type, pieces) == read_messages(reader_type, [whole])
+
+
+@settings(derandomize=True, max_examples=300)
+@given(
+    st.sampled_from(list(MESSAGES)),
+    st.lists(
+        st.one_of(
+            st.binary(max_size=60),
+            st.sampled_from([b"\r\n", b"0\r\n", b"X: 1\r\n", b"5;", b"HTTP/1.1 200 "]),
+        ),
+        max_size=12,
+    ),
+    st.booleans(),
+)
+def test_garbage_is_refused_or_bounded(reader_type, pieces, starts_well):
+    """Guards against garbage that crashes a connection's task or is read for ever."""
+    reader = reader_type()
+    try:
+        if starts_well:
+            reader.feed(MESSAGES[reader_type][: len(MESSAGES[reader_type]) // 2])
+        for piece in pieces:
+            for _ in range(40):
+                reader.feed(piece)
+    except MalformedRequestError:
+        return
+    assert reader.framing_bytes <= MAX_FRAMING_BYTES
+    body_bytes = sum(message.received_bytes for message in reader.messages)
+    assert body_bytes <= len(MESSAGES[reader_type]) + sum(map(len, pieces)) * 40
