Read the clock once in each turn of the event loop

A call through two nodes asked for the time some thirty times, each through several layers of trio. The clock now stands still during a turn and is read after each wait for input; a timeout that starts late in a long turn ends early by the length of the turn.

--- a/src/coltsfootspar/programs.py
+++ b/src/coltsfootspar/programs.py
@@ -8,6 +8,7 @@
 from absl import logging
 
 from coltsfootspar.exceptions import ColtsfootsparError, SettingsError
+from coltsfootspar.timers import create_loop_clock
 
 __all__ = ["EXIT_ERROR", "EXIT_SETTINGS", "exit_with_settings_errors", "run_daemon"]
 
@@ -25,8 +26,9 @@
 def run_daemon(run: Callable[..., Awaitable[int]], *arguments: Any) -> None:
     """Runs the main task of a daemon and ends the process with its exit code."""
     code = EXIT_ERROR
+    clock = create_loop_clock()
     try:
-        code = trio.run(run, *arguments)
+        code = trio.run(run, *arguments, clock=clock, instruments=[clock])
     except* ColtsfootsparError as group:
         for error in _list_leaves(group):
             logging.error("Stopped: %s (%s)", error, error.code)
