Do not offer a seat whose recent admission the seat map lacks

A new leader offered a seat that was never held by its map at once, though its state already had the admission of a working holder: the map follows the state only every half second. The holder would have lost its seat to a spare host. test_seat_of_a_recent_admission_is_not_offered failed before. Found on reading.

--- a/src/coltsfootspar/fleet/offers.py
+++ b/src/coltsfootspar/fleet/offers.py
@@ -90,10 +90,9 @@
                 continue
             _, expires_at = self._offers.get(seat, ("", 0.0))
             silent_seconds = now - core.leader_term.get_last_contact(seat)
-            is_vacant = (
-                not self._map.addresses[seat]
-                or silent_seconds > VACANCY_TIMEOUT_SECONDS
-            )
+            # The map may not hold the latest admissions yet.
+            has_holder = self._map.addresses[seat] or core.state.seats.get(seat)
+            is_vacant = not has_holder or silent_seconds > VACANCY_TIMEOUT_SECONDS
             if is_vacant and expires_at <= now:
                 return seat
         return ""
--- a/src/coltsfootspar/fleet/seats.py
+++ b/src/coltsfootspar/fleet/seats.py
@@ -3,13 +3,15 @@
 A seat is one voting slot of the cluster; its name is the id of the replica that runs
 there. A cluster has enough seats for a majority to survive the loss of as many hosts
 as the settings name, and never fewer than seeds at its first start. The seeds hold the
-first seats from the start; the others are vacant until a host joins, but count as
-seats all the same, so that every commit is on a majority of all seats from the first
-one on. A host that joins with
-an empty disk is offered the seat recorded for its address or, failing that, the
-seat of a replica that has stopped answering. The replica of the new holder votes and
-counts towards the quorum only once its admission is committed by a majority of the
-others, as after a lost disk, so that no seat votes twice in a term.
+first seats from the start. The others are vacant until a host joins, but count as
+seats all the same, so that each commit is on a majority of all seats from the first
+one on.
+
+A host that joins with an empty disk is offered the seat recorded for its address or,
+failing that, one that was never held or whose replica has stopped answering. The
+replica of the new holder votes and counts towards the quorum only once its admission
+is committed by a majority of the others, as after a lost disk, so that no seat votes
+twice in a term.
 """
 
 import itertools
--- /dev/null
+++ b/src/coltsfootspar/fleet/tests/test_offers.py
@@ -0,0 +1,48 @@
+"""Tests of the offers of seats."""
+
+import types
+
+import trio
+
+from coltsfootspar.fleet.offers import SeatOffers
+from coltsfootspar.fleet.seats import create_seat_map
+from coltsfootspar.replication import Role
+from coltsfootspar.replication.messages import JoinRequest
+from coltsfootspar.wire import Address
+
+SEEDS = [Address(f"10.0.0.{number}", 7620) for number in (1, 2, 3)]
+
+
+def create_offers(seats):
+    """Creates the offers of a new leader whose state holds these admissions."""
+    leader_term = types.SimpleNamespace(
+        get_last_contact=lambda seat: trio.current_time()
+    )
+    core = types.SimpleNamespace(
+        replica_id="seat-1",
+        role=Role.LEADER,
+        is_current=True,
+        leader_id="seat-1",
+        leader_term=leader_term,
+        state=types.SimpleNamespace(seats=seats, index=9),
+    )
+    replica = types.SimpleNamespace(core=core)
+    return SeatOffers(create_seat_map(SEEDS, host_losses=2), replica)
+
+
+async def test_seats_that_were_never_held_are_offered_at_once(autojump_clock):
+    """Guards against a cluster that stays at three disks for seconds."""
+    offers = create_offers({})
+    replies = [
+        offers.handle_join(JoinRequest(f"10.0.0.{number}:7620", f"core-{number}"))
+        for number in (4, 5, 6, 4)
+    ]
+    offered = [reply.replica_id for reply in replies]
+    assert offered == ["seat-4", "seat-5", "", "seat-4"]
+
+
+async def test_seat_of_a_recent_admission_is_not_offered(autojump_clock):
+    """Guards against a new leader that gives a seat away from its working holder."""
+    offers = create_offers({"seat-4": "10.0.0.4:7620"})
+    reply = offers.handle_join(JoinRequest("10.0.0.6:7620", "core-6"))
+    assert reply.replica_id == "seat-5"
--- a/src/coltsfootspar/relay/forwarding.py
+++ b/src/coltsfootspar/relay/forwarding.py
@@ -331,7 +331,7 @@
                     call.service, call.rank, reply.retry_allowance
                 )
             if reply.error == "backend-shed":
-                # Nor must a server that rejects calls.
+                # A server that rejects calls at once must not rank as the fastest one.
                 seconds = max(elapsed, call.target_latency)
             elif reply.outcome is Outcome.NOT_RUN or is_unresponsive:
                 seconds = None
