Move calls in progress along when their row changes its class

Until its first call has completed, a row counts as long; when it was found short, its waiting calls moved over, but those in progress stayed counted as long, so the short class had what was left beside them, one slot of eight. Its queue bound fell from 64 to 32 and its expected delay rose eightfold until they ended.

Change: calls in progress move with their row; a permit asks for the class of its row when it is released.

Result: the new test fails without the change. Two entries leave KNOWN-RED.txt, and their bounds are ordinary tests again.

--- a/src/coltsfootspar/admission/controller.py
+++ b/src/coltsfootspar/admission/controller.py
@@ -51,7 +51,6 @@
 class _LocalPermit:
     _controller: "LocalAdmissionController"
     _profile: RowProfile
-    _job_class: JobClass
     _is_released: bool = False
 
     def release(
@@ -69,7 +68,7 @@
         self._controller._record_service_time(
             self._profile, service_seconds, downstream, succeeded=succeeded
         )
-        self._controller._release_slot(self._profile, self._job_class)
+        self._controller._release_slot(self._profile)
 
 
 @attrs.define(eq=False)
@@ -123,7 +122,7 @@
             self._refresh(now)
         context = request.context
         profile = self._profiles.get(row)
-        job_class = self._long if profile.is_long else self._short
+        job_class = self._get_job_class(profile)
         rank = compute_rank(context)
         job_class.threshold.record_arrival(rank, profile.mean)
         if self._limit == 0:
@@ -131,7 +130,7 @@
         if self._has_free_slot(job_class, context):
             self._check_deadline(context, profile, 0.0, now)
             profile.add_call(context.priority.importance)
-            return self._take_slot(profile, job_class)
+            return self._take_slot(profile)
         level = compute_level(context)
         queueing_delay = job_class.queue.compute_work_ahead(level) / max(
             1, job_class.capacity
@@ -261,11 +260,15 @@
 
         return await trio.lowlevel.wait_task_rescheduled(abort)
 
-    def _take_slot(self, profile: RowProfile, job_class: JobClass) -> _LocalPermit:
+    def _get_job_class(self, profile: RowProfile) -> JobClass:
+        return self._long if profile.is_long else self._short
+
+    def _take_slot(self, profile: RowProfile) -> _LocalPermit:
+        job_class = self._get_job_class(profile)
         profile.in_use += 1
         job_class.in_use += 1
         self._record_delay(job_class)
-        return _LocalPermit(self, profile, job_class)
+        return _LocalPermit(self, profile)
 
     def _record_service_time(
         self, profile: RowProfile, seconds: float, downstream: float, *, succeeded: bool
@@ -287,9 +290,9 @@
             for known_profile in self._profiles:
                 known_profile.update_baseline()
 
-    def _release_slot(self, profile: RowProfile, job_class: JobClass) -> None:
+    def _release_slot(self, profile: RowProfile) -> None:
         profile.in_use -= 1
-        job_class.in_use -= 1
+        self._get_job_class(profile).in_use -= 1
         now = trio.current_time()
         if now - self._refreshed_at >= _REFRESH_INTERVAL_SECONDS:
             self._refresh(now)
@@ -318,10 +321,16 @@
             self._shed_queue(job_class, now, is_over_target=is_over_target)
 
     def _reclassify(self, profile: RowProfile) -> None:
-        """Moves the waiting calls of a row to its new job class."""
+        """Moves the calls of a row, waiting and in progress, to its new job class.
+
+        Calls in progress that stayed behind would reduce the capacity of the new
+        class to what is left beside them.
+        """
         source, target = self._short, self._long
         if not profile.is_long:
             source, target = target, source
+        source.in_use -= profile.in_use
+        target.in_use += profile.in_use
         for waiter in source.queue.list_row(profile):
             source.queue.remove(waiter)
             waiter.job_class = target
@@ -356,7 +365,7 @@
                 self._refuse(waiter, "deadline-unreachable", text)
                 continue
             waiter.job_class.queue.remove(waiter)
-            permit = self._take_slot(waiter.profile, waiter.job_class)
+            permit = self._take_slot(waiter.profile)
             trio.lowlevel.reschedule(waiter.task, outcome.Value(permit))
 
     def _select_next(self) -> Waiter | None:
--- a/src/coltsfootspar/admission/tests/test_controller.py
+++ b/src/coltsfootspar/admission/tests/test_controller.py
@@ -2,8 +2,10 @@
 
 import pytest
 import trio
+import trio.testing
 
 from coltsfootspar.admission import create_admission_controller
+from coltsfootspar.admission.controller import DEFAULT_QUEUE_PER_SLOT
 from coltsfootspar.calls import Priority
 from coltsfootspar.exceptions import RefusedError
 
@@ -116,6 +118,27 @@
     assert sum(load.count(row, "late") for row in rows) == 0
 
 
+async def test_row_that_becomes_short_takes_its_running_calls_along(
+    load, autojump_clock
+):
+    """Guards against a queue that shrinks after the first call of a server."""
+    (row,) = create_rows(load, ["only"])
+    request = load.request(row, deadline=trio.current_time() + 1000.0)
+    permits = [await load.controller.acquire(request, row) for _ in range(SLOTS)]
+    permits[0].release(SERVICE_SECONDS, succeeded=True)
+    await trio.sleep(0.1)
+    permits[0] = await load.controller.acquire(request, row)
+    async with trio.open_nursery() as nursery:
+        for _ in range(DEFAULT_QUEUE_PER_SLOT * SLOTS):
+            nursery.start_soon(load.controller.acquire, request, row)
+        await trio.testing.wait_all_tasks_blocked()
+        assert load.controller.waiting == DEFAULT_QUEUE_PER_SLOT * SLOTS
+        nursery.cancel_scope.cancel()
+    for permit in permits:
+        permit.release(SERVICE_SECONDS, succeeded=True)
+    assert load.controller.in_use == 0
+
+
 async def test_slots_are_divided_by_weight(load, autojump_clock):
     heavy = load.row("s GET /heavy", weight=30)
     light = load.row("s GET /light", weight=10)
--- a/src/coltsfootspar/bench/tests/test_bounds.py
+++ b/src/coltsfootspar/bench/tests/test_bounds.py
@@ -51,8 +51,6 @@
 # Names of entries in KNOWN-RED.txt by scenario and measure.
 KNOWN_RED = {
     ("overload-2x", "goodput_ratio"): "overload-2x-goodput",
-    ("overload-2x", "recovery_seconds"): "overload-2x-recovery",
-    ("overload-2x", "wasted_work_ratio"): "overload-2x-wasted",
     ("recovery", "recovery_seconds"): "recovery-seconds",
     ("recovery", "wasted_work_ratio"): "recovery-wasted",
     ("kikapu", "wasted_work_ratio"): "kikapu-wasted",
