--- a/src/coltsfootspar/membership/data_centre_probing.py
+++ b/src/coltsfootspar/membership/data_centre_probing.py
@@ -13,7 +13,6 @@
 
 __all__ = ["DataCentreProber"]
 
-_JITTER_SHARE = 0.1
 # Probe periods between two comparisons of the member list with another data
 # centre.
 _PERIODS_PER_SYNC = 5
@@ -38,7 +37,7 @@
         """
         view = self._view
         period_count = 0
-        async for _ in self._timers.subscribe(view.limits.relay_period, _JITTER_SHARE):
+        async for _ in self._timers.subscribe(view.limits.relay_period):
             if not view.is_relay:
                 continue
             period_count += 1
--- a/src/coltsfootspar/membership/probing.py
+++ b/src/coltsfootspar/membership/probing.py
@@ -14,7 +14,6 @@
 
 __all__ = ["Prober"]
 
-_JITTER_SHARE = 0.1
 _MAX_SEQUENCE = 0xFFFFFFFF
 # Sequence number of probes whose acknowledgement is ignored.
 _NO_SEQUENCE = 0
@@ -45,7 +44,7 @@
         :param nursery: nursery that runs the probes.
         """
         limits = self._view.limits
-        async for _ in self._timers.subscribe(limits.probe_period, _JITTER_SHARE):
+        async for _ in self._timers.subscribe(limits.probe_period):
             member = self._select_next()
             if member is not None:
                 nursery.start_soon(self._probe, member)
--- a/src/coltsfootspar/membership/tests/test_ports.py
+++ b/src/coltsfootspar/membership/tests/test_ports.py
@@ -4,6 +4,7 @@
 
 import pytest
 import trio
+import trio.testing
 
 from coltsfootspar.exceptions import MembershipError
 from coltsfootspar.membership import NodeIdentity, create_membership, open_udp_port
@@ -29,6 +30,34 @@
         assert await port.receive() == (b"next", port.address)
 
 
+async def test_flood_of_datagrams_does_not_keep_other_tasks_from_running():
+    async with open_udp_port(ANY_PORT) as port:
+        has_other_run = False
+
+        async def run_other():
+            nonlocal has_other_run
+            has_other_run = True
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(run_other)
+            with trio.fail_after(10):
+                while not has_other_run:
+                    await port.send(port.address, b"again")
+                    await port.receive()
+
+
+async def test_closing_the_port_ends_a_wait_for_a_datagram():
+    async with open_udp_port(ANY_PORT) as port, trio.open_nursery() as nursery:
+
+        async def wait_for_datagram():
+            with pytest.raises(MembershipError, match="closed"):
+                await port.receive()
+
+        nursery.start_soon(wait_for_datagram)
+        await trio.testing.wait_all_tasks_blocked()
+        port.close()
+
+
 async def test_port_in_use_raises_membership_error():
     async with open_udp_port(ANY_PORT) as port:
         with pytest.raises(MembershipError, match="cannot bind"):
--- a/src/coltsfootspar/relay/server.py
+++ b/src/coltsfootspar/relay/server.py
@@ -1,6 +1,5 @@
 """HTTP server with one task per connection."""
 
-import math
 import socket
 
 import attrs
@@ -15,13 +14,14 @@
 from coltsfootspar.relay.connections import Connection, Exchange, Handler
 from coltsfootspar.relay.sockets import accept, find_readable, listen
 from coltsfootspar.routes import ClientLimits
+from coltsfootspar.timers import compute_next_tick
 from coltsfootspar.wire import Address
 
 __all__ = ["RelayServer", "create_relay_server"]
 
 # Interval of the checks for passed deadlines and disconnected callers. Two nodes in a
 # row have to detect within half a second that a caller has disconnected.
-CHECK_INTERVAL_SECONDS = 0.06
+CHECK_INTERVAL_SECONDS = 0.1
 # Interval of the checks while no request is in progress; only idle connections and
 # incomplete heads have time limits then.
 IDLE_CHECK_INTERVAL_SECONDS = 0.5
@@ -122,11 +122,13 @@
         """
         if not self.exchanges:
             self._has_work = trio.Event()
-            with trio.move_on_at(find_next(IDLE_CHECK_INTERVAL_SECONDS)) as scope:
+            tick = compute_next_tick(trio.current_time(), IDLE_CHECK_INTERVAL_SECONDS)
+            with trio.move_on_at(tick) as scope:
                 await self._has_work.wait()
             if scope.cancelled_caught:
                 return
-        await trio.sleep_until(find_next(CHECK_INTERVAL_SECONDS))
+        tick = compute_next_tick(trio.current_time(), CHECK_INTERVAL_SECONDS)
+        await trio.sleep_until(tick)
 
     async def _run_checks(self) -> None:
         while True:
@@ -147,11 +149,6 @@
             by_descriptor[descriptor].cancel_if_disconnected()
 
 
-def find_next(interval: float) -> float:
-    """Returns the next multiple of an interval, trio clock, seconds."""
-    return (math.floor(trio.current_time() / interval) + 1) * interval
-
-
 def create_relay_server(handler: Handler) -> RelayServer:
     """Creates a server.
 
--- a/src/coltsfootspar/timers/__init__.py
+++ b/src/coltsfootspar/timers/__init__.py
@@ -4,6 +4,7 @@
 from coltsfootspar.timers.service import (
     Subscription,
     TimerService,
+    compute_next_tick,
     create_timer_service,
 )
 
@@ -11,6 +12,7 @@
     "LoopClock",
     "Subscription",
     "TimerService",
+    "compute_next_tick",
     "create_loop_clock",
     "create_timer_service",
 ]
--- a/src/coltsfootspar/timers/service.py
+++ b/src/coltsfootspar/timers/service.py
@@ -2,13 +2,19 @@
 
 import heapq
 import itertools
+import math
 import random
 from collections.abc import AsyncIterator
 
 import attrs
 import trio
 
-__all__ = ["Subscription", "TimerService", "create_timer_service"]
+__all__ = [
+    "Subscription",
+    "TimerService",
+    "compute_next_tick",
+    "create_timer_service",
+]
 
 
 @attrs.define(eq=False)
@@ -69,7 +75,10 @@
     _changed: trio.Event = attrs.field(factory=trio.Event)
 
     def subscribe(self, period: float, jitter: float = 0.0) -> Subscription:
-        """Creates a subscription whose first tick is one period from now.
+        """Creates a subscription whose first tick is at most one period from now.
+
+        Without jitter, ticks come at the multiples of the period, so that
+        subscriptions with related periods wake up the process together.
 
         :param period: time between two ticks, seconds.
         :param jitter: largest random share of the period added to it, 0 to 1.
@@ -91,8 +100,11 @@
         return self._heap[0][0] if self._heap else float("inf")
 
     def _schedule(self, subscription: Subscription, now: float) -> None:
-        extra = subscription.jitter * self._random.random()
-        due = now + subscription.period * (1 + extra)
+        if subscription.jitter:
+            extra = subscription.jitter * self._random.random()
+            due = now + subscription.period * (1 + extra)
+        else:
+            due = compute_next_tick(now, subscription.period)
         heapq.heappush(self._heap, (due, next(self._sequence), subscription))
         self._changed.set()
 
@@ -105,6 +117,15 @@
             self._schedule(subscription, now)
 
 
+def compute_next_tick(now: float, period: float) -> float:
+    """Computes the next multiple of a period.
+
+    :param now: trio clock, seconds.
+    :param period: seconds.
+    """
+    return (math.floor(now / period) + 1) * period
+
+
 def create_timer_service(source: random.Random) -> TimerService:
     """Creates a timer service.
 
--- a/src/coltsfootspar/timers/tests/test_service.py
+++ b/src/coltsfootspar/timers/tests/test_service.py
@@ -20,6 +20,26 @@
     assert times == [0.5, 1.0, 1.5]
 
 
+async def test_related_periods_tick_together(autojump_clock):
+    """Guards against processes that each of their parts wakes up on its own."""
+    timers = create_timer_service(random.Random(1))
+    times = {0.5: [], 1.0: []}
+
+    async def subscribe(delay, period):
+        await trio.sleep(delay)
+        async for now in timers.subscribe(period):
+            times[period].append(now)
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(timers.run)
+        nursery.start_soon(subscribe, 0.13, 0.5)
+        nursery.start_soon(subscribe, 0.61, 1.0)
+        await trio.sleep(4.2)
+        nursery.cancel_scope.cancel()
+    assert len(times[1.0]) == 4
+    assert set(times[1.0]) <= set(times[0.5])
+
+
 async def test_slow_subscriber_gets_one_tick_for_many_missed(autojump_clock):
     timers = create_timer_service(random.Random(1))
     ticks = 0
--- a/src/coltsfootspar/wire/connection.py
+++ b/src/coltsfootspar/wire/connection.py
@@ -48,7 +48,7 @@
     :param requests: most requests of the peer in progress.
     """
 
-    heartbeat: float = 0.5
+    heartbeat: float = 0.75
     silence: float = 1.5
     idle_heartbeat: float = 5.0
     message_bytes: int = 16 << 20
