Use one cancel scope for the requests of a connection

Change: a connection keeps its scope until one of its requests is cancelled. A cancellation that comes after its handler has ended renews the scope before the next request is read; tests for that and for a request after one that missed its deadline.

--- a/src/coltsfootspar/relay/connections.py
+++ b/src/coltsfootspar/relay/connections.py
@@ -56,7 +56,8 @@
     """A request on one connection and the response to it.
 
     :param request: the request; its body may be incomplete.
-    :param cancel_scope: cancelled when the caller disconnects or the deadline passes.
+    :param is_cancelled: true once the caller has disconnected or the deadline has
+        passed before the handler ended.
     :param has_answered: true once a response has been started.
     :param has_disconnected: true once the caller has closed the connection.
     :param deadline: trio clock, seconds.
@@ -65,7 +66,7 @@
 
     request: Request
     _connection: "Connection"
-    cancel_scope: trio.CancelScope = attrs.field(factory=trio.CancelScope)
+    is_cancelled: bool = False
     has_answered: bool = False
     has_disconnected: bool = False
     deadline: float = math.inf
@@ -173,17 +174,22 @@
         """File descriptor of the connection."""
         return self._connection.sock.fileno()
 
+    def cancel(self) -> None:
+        """Cancels the handler."""
+        self.is_cancelled = True
+        self._connection.cancel_scope.cancel()
+
     def cancel_if_disconnected(self) -> None:
         """Cancels the exchange if the caller has closed the connection."""
         if peek(self._connection.sock) == b"":
             self.has_disconnected = True
-            self.cancel_scope.cancel()
+            self.cancel()
 
     @property
-    def is_deadline_exceeded(self) -> bool:
-        """True when the deadline ended the handler before it sent a response."""
-        was_cancelled = self.cancel_scope.cancelled_caught and not self.has_disconnected
-        return was_cancelled and not self.has_answered and self.on_deadline is not None
+    def needs_late_response(self) -> bool:
+        """True when a deadline ended the handler before it sent a response."""
+        is_caller_waiting = not self.has_disconnected and not self.has_answered
+        return is_caller_waiting and self.on_deadline is not None
 
 
 Handler = Callable[[Exchange], Awaitable[None]]
@@ -198,6 +204,8 @@
     :param is_idle: true while no byte of a request has been received.
     :param waiting_since: start of the idle time or of the incomplete head, trio
         clock, seconds.
+    :param cancel_scope: surrounds all requests until one is cancelled; a scope for
+        each request would cost a tenth of its processor time.
     """
 
     server: ConnectionOwner
@@ -211,15 +219,21 @@
     is_reading_head: bool = False
     is_head_timed_out: bool = False
     cancel_scope: trio.CancelScope = attrs.field(factory=trio.CancelScope)
+    _exchange: Exchange | None = None
+    _has_ended: bool = False
 
     async def run(self) -> None:
         """Serves requests until either side closes the connection."""
-        with self.cancel_scope:
-            while not self.is_last_request and not self.is_broken:
-                request = await self._read_request()
-                if request is None:
-                    return
-                await self._serve(request)
+        try:
+            while not self._has_ended:
+                self.cancel_scope = trio.CancelScope()
+                with self.cancel_scope:
+                    await self._serve_requests()
+                if self._exchange is not None:
+                    await self._finish_cancelled(self._exchange)
+        finally:
+            if self._exchange is not None:
+                self._remove_exchange(self._exchange)
         if self.is_head_timed_out:
             await self._reject(408)
 
@@ -234,12 +248,16 @@
                 self.close_idle()
         elif self.is_reading_head and now - self.waiting_since > limits.header_seconds:
             self.is_head_timed_out = True
-            self.cancel_scope.cancel()
+            self._end()
 
     def close_idle(self) -> None:
         """Closes the connection unless a request has started or is waiting unread."""
         if self.is_idle and peek(self.sock) is None:
-            self.cancel_scope.cancel()
+            self._end()
+
+    def _end(self) -> None:
+        self._has_ended = True
+        self.cancel_scope.cancel()
 
     async def read_more(self, request: Request) -> None:
         """Reads more of the body of a request.
@@ -304,41 +322,63 @@
         await send_all(self.sock, encode_response(status, _CLOSE_HEADERS, b""))
         await self._discard_input()
 
-    async def _serve(self, request: Request) -> None:
-        exchange = Exchange(request, self)
-        server = self.server
-        server.add_exchange(exchange)
+    async def _serve_requests(self) -> None:
+        """Serves requests until the connection ends or one of them is cancelled."""
+        while not self.is_last_request and not self.is_broken:
+            request = await self._read_request()
+            if request is None:
+                break
+            exchange = await self._serve(request)
+            if exchange.is_cancelled:
+                # The handler ended first. The cancellation must not reach the next
+                # request.
+                return
+        self._has_ended = True
+
+    async def _serve(self, request: Request) -> Exchange:
+        exchange = self._exchange = Exchange(request, self)
+        self.server.add_exchange(exchange)
         if request.find(b"expect") is not None and not request.is_complete:
             await send_all(self.sock, b"HTTP/1.1 100 Continue\r\n\r\n")
-        try:
-            with exchange.cancel_scope:
-                await server.handler(exchange)
-            if exchange.is_deadline_exceeded:
-                await exchange.on_deadline()
-        finally:
-            server.exchanges.discard(exchange)
-            # It refers to the exchange, which would stay as cyclic garbage.
-            exchange.on_deadline = None
+        await self.server.handler(exchange)
+        await self._finish(exchange)
+        return exchange
+
+    async def _finish_cancelled(self, exchange: Exchange) -> None:
+        if exchange.needs_late_response:
+            await exchange.on_deadline()
+        await self._finish(exchange)
+        self._has_ended = self.is_last_request or self.is_broken
+
+    async def _finish(self, exchange: Exchange) -> None:
+        self._remove_exchange(exchange)
+        request = exchange.request
         if not exchange.has_answered:
             self.is_broken = True
         elif not request.is_complete and not self.is_broken:
             await self._discard_body(request)
 
+    def _remove_exchange(self, exchange: Exchange) -> None:
+        self._exchange = None
+        self.server.exchanges.discard(exchange)
+        # It refers to the exchange, which would stay as cyclic garbage.
+        exchange.on_deadline = None
+
     async def _discard_body(self, request: Request) -> None:
         """Reads and discards the rest of a request body.
 
         Closing a connection with unread data resets it, and the response could be
         lost.
         """
-        with trio.move_on_after(_DISCARD_TIMEOUT_SECONDS) as cancel_scope:
+        self.is_broken = True
+        with trio.move_on_after(_DISCARD_TIMEOUT_SECONDS):
             while (
                 not request.is_complete
                 and request.received_bytes < _MAX_DISCARDED_BYTES
             ):
                 await self.read_more(request)
                 request.take_body()
-        if cancel_scope.cancelled_caught or not request.is_complete:
-            self.is_broken = True
+            self.is_broken = not request.is_complete
 
     async def _discard_input(self) -> None:
         self.sock.shutdown(socket.SHUT_WR)
--- a/src/coltsfootspar/relay/server.py
+++ b/src/coltsfootspar/relay/server.py
@@ -81,7 +81,7 @@
     async def expire_in_flight(self) -> None:
         """Ends the requests in progress as if their deadlines had passed."""
         for exchange in self.exchanges:
-            exchange.cancel_scope.cancel()
+            exchange.cancel()
         with trio.move_on_after(_FINAL_RESPONSES_SECONDS):
             await self._wait_until_answered(_FINAL_RESPONSES_SECONDS / 10)
 
@@ -137,7 +137,7 @@
             now = trio.current_time()
             for exchange in self.exchanges:
                 if now >= exchange.deadline:
-                    exchange.cancel_scope.cancel()
+                    exchange.cancel()
             for connection in self._connections:
                 connection.enforce_read_timeouts(now)
 
--- a/src/coltsfootspar/relay/tests/test_server.py
+++ b/src/coltsfootspar/relay/tests/test_server.py
@@ -75,6 +75,45 @@
     assert bodies[1:] == [b"1", b"22"]
 
 
+TWO_REQUESTS = (
+    b"GET /1 HTTP/1.1\r\nHost: a\r\n\r\n"
+    b"GET /2 HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
+)
+
+
+async def test_late_cancellation_does_not_reach_the_next_request(harness):
+    """Guards against a request that ends because of the deadline of another."""
+
+    async def answer_and_cancel(exchange):
+        if exchange.request.target == b"/1":
+            exchange.cancel()
+        else:
+            await trio.sleep(0.01)
+        await exchange.answer(200, [], b"")
+
+    _, address = await start_server(harness, answer_and_cancel)
+    answer = await send_and_read(address, TWO_REQUESTS)
+    assert answer.count(b"HTTP/1.1 200") == 2
+
+
+async def test_request_after_one_that_passed_its_deadline_is_served(harness):
+    """Guards against a connection that a missed deadline makes unusable."""
+
+    async def answer_second(exchange):
+        if exchange.request.target == b"/1":
+            exchange.set_deadline(
+                trio.current_time(), lambda: exchange.answer(504, [], b"")
+            )
+            await trio.sleep_forever()
+        await exchange.answer(200, [], b"")
+
+    server, address = await start_server(harness, answer_second)
+    answer = await send_and_read(address, TWO_REQUESTS)
+    assert answer.startswith(b"HTTP/1.1 504")
+    assert answer.count(b"HTTP/1.1 200") == 1
+    assert not server.exchanges
+
+
 async def test_drain_answers_requests_in_progress(harness):
     """Guards against a shutdown that drops a request in progress."""
     release = trio.Event()
