Add the metrics of nodes and replicas from tables

Cause: fleet/node.py had ten near-equal calls, and each caller wrote the common prefix of the names; forwarding looked up the caller's deadline with the same expression in two places.

Change: add_counters and add_gauges take values and write the common parts of the names; one function finds the deadline.

Result: the names on the page are the same; tests of fleet and relay pass.

--- a/src/coltsfootspar/fleet/metrics.py
+++ b/src/coltsfootspar/fleet/metrics.py
@@ -8,8 +8,11 @@
 
 __all__ = ["FleetMetrics", "create_fleet_metrics"]
 
+_PREFIX = "coltsfootspar_"
 _BUCKET_BOUNDS_SECONDS = (0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0)
 
+MetricValue = tuple[str, str, Callable[[], float]]
+
 
 @attrs.define(eq=False)
 class FleetMetrics:
@@ -24,21 +27,22 @@
         factory=list
     )
 
-    def add_counter(self, name: str, help_text: str, read: Callable[[], float]) -> None:
-        """Adds a counter.
+    def add_counters(self, *values: MetricValue) -> None:
+        """Adds counters.
 
-        :param read: returns the value; called on each scrape.
+        :param values: name without the common parts, help text, and a function that
+            returns the value on each scrape.
         """
-        collector = Counter(name, help_text, registry=self._registry)
-        self._collectors.append((collector, read))
-
-    def add_gauge(self, name: str, help_text: str, read: Callable[[], float]) -> None:
-        """Adds a gauge.
+        for name, help_text, read in values:
+            name = f"{_PREFIX}{name}_total"
+            collector = Counter(name, help_text, registry=self._registry)
+            self._collectors.append((collector, read))
 
-        :param read: returns the value; called on each scrape.
-        """
-        collector = Gauge(name, help_text, registry=self._registry)
-        self._collectors.append((collector, read))
+    def add_gauges(self, *values: MetricValue) -> None:
+        """Adds gauges; see :meth:`add_counters`."""
+        for name, help_text, read in values:
+            collector = Gauge(f"{_PREFIX}{name}", help_text, registry=self._registry)
+            self._collectors.append((collector, read))
 
     def render(self) -> bytes:
         """Renders the page in the Prometheus text format."""
@@ -56,7 +60,7 @@
     """Creates metrics that have only the latency histogram."""
     registry = Registry()
     request_seconds = Histogram(
-        "coltsfootspar_request_seconds",
+        f"{_PREFIX}request_seconds",
         "Time to the answer of served requests.",
         buckets=list(_BUCKET_BOUNDS_SECONDS),
         registry=registry,
--- a/src/coltsfootspar/fleet/node.py
+++ b/src/coltsfootspar/fleet/node.py
@@ -306,36 +306,21 @@
 
 def _add_metrics(fleet_metrics: FleetMetrics, node: FleetNode) -> None:
     counters, limiter = node.forwarder.counters, node.backend.limiter
-    prefix = "coltsfootspar_"
-    fleet_metrics.add_counter(
-        f"{prefix}served_total", "Requests served.", lambda: counters.served
-    )
-    fleet_metrics.add_counter(
-        f"{prefix}refused_total", "Requests refused.", lambda: counters.refused
-    )
-    fleet_metrics.add_counter(
-        f"{prefix}failed_total", "Requests failed.", lambda: counters.failed
-    )
-    fleet_metrics.add_counter(
-        f"{prefix}repeats_total", "Repeated sends.", lambda: counters.retries
-    )
-    fleet_metrics.add_counter(
-        f"{prefix}begun_total", "Calls of begun requests.", lambda: counters.nested
-    )
-    fleet_metrics.add_gauge(
-        f"{prefix}slots_in_use", "Slots in use.", lambda: limiter.in_use
-    )
-    fleet_metrics.add_gauge(
-        f"{prefix}slots", "Slots of the server.", lambda: limiter.limit
-    )
-    fleet_metrics.add_counter(
-        f"{prefix}connections_opened_total",
-        "Connections opened to the backend server.",
-        lambda: node.backend.connections_opened,
-    )
-    fleet_metrics.add_gauge(
-        f"{prefix}waiting", "Calls that wait for a slot.", lambda: limiter.load.waiting
+    fleet_metrics.add_counters(
+        ("served", "Requests served.", lambda: counters.served),
+        ("refused", "Requests refused.", lambda: counters.refused),
+        ("failed", "Requests failed.", lambda: counters.failed),
+        ("repeats", "Repeated sends.", lambda: counters.retries),
+        ("begun", "Calls of begun requests.", lambda: counters.nested),
+        (
+            "connections_opened",
+            "Connections opened to the backend server.",
+            lambda: node.backend.connections_opened,
+        ),
     )
-    fleet_metrics.add_gauge(
-        f"{prefix}routes_version", "Version in force.", lambda: node.routes.version
+    fleet_metrics.add_gauges(
+        ("slots_in_use", "Slots in use.", lambda: limiter.in_use),
+        ("slots", "Slots of the server.", lambda: limiter.limit),
+        ("waiting", "Calls that wait for a slot.", lambda: limiter.load.waiting),
+        ("routes_version", "Version in force.", lambda: node.routes.version),
     )
--- a/src/coltsfootspar/fleet/replica.py
+++ b/src/coltsfootspar/fleet/replica.py
@@ -120,14 +120,13 @@
         settings = self.settings
         self._control = create_relay_server(self._reject_control)
         fleet_metrics = create_fleet_metrics()
-        prefix = "coltsfootspar_replica_"
-        fleet_metrics.add_gauge(
-            f"{prefix}term", "Term.", lambda: self._read_core("term")
-        )
-        fleet_metrics.add_gauge(
-            f"{prefix}committed",
-            "Committed entry.",
-            lambda: self._read_core("commit_index"),
+        fleet_metrics.add_gauges(
+            ("replica_term", "Term.", lambda: self._read_core("term")),
+            (
+                "replica_committed",
+                "Committed entry.",
+                lambda: self._read_core("commit_index"),
+            ),
         )
         metrics = create_relay_server(create_metrics_handler(fleet_metrics.render))
         async with trio.open_nursery() as nursery:
--- a/src/coltsfootspar/relay/forwarding.py
+++ b/src/coltsfootspar/relay/forwarding.py
@@ -30,7 +30,7 @@
 )
 from coltsfootspar.relay.client import ClientConnection, ConnectionPool, OutgoingRequest
 from coltsfootspar.relay.connections import Exchange
-from coltsfootspar.relay.messages import Response
+from coltsfootspar.relay.messages import Request, Response
 from coltsfootspar.relay.outgoing import create_outgoing_call, encode_outgoing_call
 from coltsfootspar.relay.placement import Placement
 from coltsfootspar.relay.receiving import send_reply
@@ -187,7 +187,7 @@
         # calls that the backend server makes while it serves a request.
         is_nested = exchange.caller_host == self._host
         self.counters.nested += is_nested
-        remaining = parse_milliseconds(request.find(self._names.deadline_ms.lower()))
+        remaining = self._find_remaining_seconds(request)
         seconds = min(route.timeout, remaining or _DEFAULT_DEADLINE_SECONDS)
         return Call(
             service=self._splitter.choose(route),
@@ -256,11 +256,18 @@
         The timeout of the route does not end a response that is being delivered.
         """
         request = exchange.request
-        remaining = parse_milliseconds(request.find(self._names.deadline_ms.lower()))
+        remaining = self._find_remaining_seconds(request)
         if remaining is not None:
             deadline = request.arrived_at + remaining + STREAMING_GRACE_SECONDS
             exchange.set_deadline(deadline)
 
+    def _find_remaining_seconds(self, request: Request) -> float | None:
+        """Returns the time from the arrival of a request to its caller's deadline.
+
+        :returns: seconds; None when the caller has sent none.
+        """
+        return parse_milliseconds(request.find(self._names.deadline_ms.lower()))
+
     def _is_final(
         self, route: Route, outgoing: OutgoingCall, state: _RequestState, reply: Reply
     ) -> bool:
