Note a departure that overtakes the first report of its start

The server had restarted, and departed again before its first report had come; the departure was noted for the start before. The late report was then newer than the noted departure, and the server was in use. A node that had heard of no report yet ignored a departure altogether.

Change: the start that a departure names is noted, also for a server that has not reported yet.

--- a/src/coltsfootspar/relay/backend.py
+++ b/src/coltsfootspar/relay/backend.py
@@ -159,18 +159,24 @@
             means the latest known start.
         """
         report = self._last_report
-        if report is None or report.instance_id != instance_id:
-            log_decision("departure-ignored", instance=instance_id)
-            return
-        if 0 < started_ms < report.started_ms:
+        is_known = report is not None and report.instance_id == instance_id
+        known_start = report.started_ms if is_known else 0
+        if 0 < started_ms < known_start or not (is_known or started_ms):
             log_decision(
                 "departure-ignored",
                 instance=instance_id,
                 started=started_ms,
-                known=report.started_ms,
+                known=known_start,
+            )
+            return
+        # The departure may have overtaken the first report of its start.
+        departed_start = max(started_ms, known_start)
+        self._departed_starts[instance_id] = departed_start
+        if not is_known:
+            log_decision(
+                "departure-noted", instance=instance_id, started=departed_start
             )
             return
-        self._departed_starts[instance_id] = report.started_ms
         log_decision("backend-departed", instance=instance_id)
         if self.report is not None:
             self.report = attrs.evolve(report, is_leaving=True)
--- a/src/coltsfootspar/relay/tests/test_path.py
+++ b/src/coltsfootspar/relay/tests/test_path.py
@@ -328,6 +328,41 @@
     assert backend.service == ""
 
 
+async def test_departure_that_overtakes_the_first_report_of_its_start(autojump_clock):
+    """Guards against a late report of a start that has already departed."""
+    address = Address(HOST, 9)
+    backend = create_backend_server(NAMES, lambda: None)
+    backend.apply_report(create_report(address, started_ms=5))
+    backend.apply_departure("i-1", 5)
+    backend.apply_departure("i-1", 6)
+    backend.apply_report(create_report(address, started_ms=6))
+    assert backend.service == ""
+    backend.apply_report(create_report(address, started_ms=7))
+    assert backend.service == "wallet"
+
+
+async def test_departure_after_a_restart_of_the_node_counts(autojump_clock):
+    """Guards against a late report to a node that has only heard of the departure."""
+    address = Address(HOST, 9)
+    backend = create_backend_server(NAMES, lambda: None)
+    backend.apply_departure("i-1", 5)
+    backend.apply_report(create_report(address, started_ms=5, sequence=7))
+    assert backend.service == ""
+    backend.apply_report(create_report(address, started_ms=6))
+    assert backend.service == "wallet"
+
+
+async def test_departure_of_another_server_leaves_the_present_one(autojump_clock):
+    """Guards against a server taken out by the departure of its predecessor."""
+    address = Address(HOST, 9)
+    backend = create_backend_server(NAMES, lambda: None)
+    backend.apply_report(create_report(address, instance_id="i-2", started_ms=6))
+    backend.apply_departure("i-1", 5)
+    assert backend.service == "wallet"
+    backend.apply_report(create_report(address, started_ms=5, sequence=9))
+    assert backend.report.instance_id == "i-2"
+
+
 async def test_departure_after_silence_counts(autojump_clock):
     """Guards against a late report of a server that left after it was silent."""
     address = Address(HOST, 9)
