Keep the next tick in the future

The quotient of a multiple of a period may be rounded down to the multiple before it (4.3 / 0.1); the next tick was then the present time, and a subscription of such a period would have been served without end. The periods subscribed to today are multiples of 0.25 s, for which it does not happen; the checks of busy servers, every 0.1 s, ran a turn too often.

Change: a tick that is not in the future moves by one period.

--- a/src/coltsfootspar/relay/connections.py
+++ b/src/coltsfootspar/relay/connections.py
@@ -204,8 +204,8 @@
     :param is_idle: true while no byte of a request has been received.
     :param waiting_since: start of the idle time or of the incomplete head, trio
         clock, seconds.
-    :param cancel_scope: surrounds all requests until one is cancelled; a scope for
-        each request would cost a tenth of its processor time.
+    :param cancel_scope: surrounds all requests until one is cancelled, since a scope
+        for each request is dear.
     """
 
     server: ConnectionOwner
--- a/src/coltsfootspar/timers/service.py
+++ b/src/coltsfootspar/timers/service.py
@@ -123,7 +123,9 @@
     :param now: trio clock, seconds.
     :param period: seconds.
     """
-    return (math.floor(now / period) + 1) * period
+    tick = (math.floor(now / period) + 1) * period
+    # The quotient of a multiple may be rounded down to the one before it.
+    return tick if tick > now else tick + period
 
 
 def create_timer_service(source: random.Random) -> TimerService:
--- a/src/coltsfootspar/timers/tests/test_service.py
+++ b/src/coltsfootspar/timers/tests/test_service.py
@@ -2,9 +2,10 @@
 
 import random
 
+import pytest
 import trio
 
-from coltsfootspar.timers import create_timer_service
+from coltsfootspar.timers import compute_next_tick, create_timer_service
 
 
 async def test_ticks_follow_the_period(autojump_clock):
@@ -40,6 +41,14 @@
     assert set(times[1.0]) <= set(times[0.5])
 
 
+@pytest.mark.parametrize("period", [0.05, 0.1, 0.3, 0.5, 0.7])
+def test_next_tick_is_in_the_future(period):
+    """Guards against a tick at the present time, which would come without end."""
+    for count in range(1, 2_000):
+        now = count * period
+        assert now < compute_next_tick(now, period) <= now + 1.001 * period
+
+
 async def test_slow_subscriber_gets_one_tick_for_many_missed(autojump_clock):
     timers = create_timer_service(random.Random(1))
     ticks = 0
