Keep that a request was sent when a new connection is refused

An idempotent request that fails within 50 ms on a kept connection is sent again on a new one; when the node was gone, the refused connection was reported as if nothing had been sent.

Change: a failure of the second sending keeps may-have-run. So that nodes that were gone before don't cost retries, a kept connection is looked at before each use, between nodes as well: one more system call a call.

--- a/src/coltsfootspar/relay/client.py
+++ b/src/coltsfootspar/relay/client.py
@@ -246,13 +246,10 @@
 class ConnectionPool:
     """Pool of connections to one address; reuses the most recently used one first.
 
-    :param checks_unsolicited_input: true when the server may send data that belongs
-        to no request; a connection with such data is not reused.
     :param opened: number of connections opened so far.
     """
 
     address: Address
-    checks_unsolicited_input: bool = True
     opened: int = 0
     _idle: list[ClientConnection] = attrs.field(factory=list)
 
@@ -276,20 +273,32 @@
         :raises TransferError: when no connection can be opened, it ends early or the
             response is invalid.
         """
-        connection = self._take_idle(max_idle, is_retryable=is_retryable)
-        if connection is not None:
-            sent_at = trio.current_time()
-            try:
-                return connection, await _exchange(connection, request, buffer_bytes)
-            except TransferError as error:
-                if not (is_retryable and _is_stale(connection, sent_at)):
-                    raise
-                log_decision(
-                    "idle-connection-closed",
-                    request=request.request_id,
-                    address=self.address,
-                    error=error.code,
-                )
+        connection = self._take_idle(max_idle)
+        if connection is None:
+            return await self._exchange_on_new(request, buffer_bytes)
+        sent_at = trio.current_time()
+        try:
+            return connection, await _exchange(connection, request, buffer_bytes)
+        except TransferError as error:
+            if not (is_retryable and _is_stale(connection, sent_at)):
+                raise
+            log_decision(
+                "idle-connection-closed",
+                request=request.request_id,
+                address=self.address,
+                error=error.code,
+            )
+        try:
+            return await self._exchange_on_new(request, buffer_bytes)
+        except TransferError as error:
+            # The request may have run on the first connection.
+            raise TransferError(
+                str(error), may_have_run=True, code=error.code
+            ) from error
+
+    async def _exchange_on_new(
+        self, request: OutgoingRequest, buffer_bytes: int
+    ) -> tuple[ClientConnection, Response]:
         sock = await connect(self.address, CONNECT_SECONDS)
         self.opened += 1
         connection = ClientConnection(sock)
@@ -327,16 +336,14 @@
             connection.close()
         self._idle.clear()
 
-    def _take_idle(
-        self, max_idle: float, *, is_retryable: bool
-    ) -> ClientConnection | None:
+    def _take_idle(self, max_idle: float) -> ClientConnection | None:
+        """Takes a connection that the server has not closed or written to since."""
         now = trio.current_time()
-        # The check costs a system call; a retryable request does not need it.
-        needs_check = self.checks_unsolicited_input or not is_retryable
         while self._idle:
             connection = self._idle.pop()
-            if connection.is_usable(now, max_idle) and not (
-                needs_check and connection.has_unsolicited_input()
+            if (
+                connection.is_usable(now, max_idle)
+                and not connection.has_unsolicited_input()
             ):
                 return connection
             connection.close()
--- a/src/coltsfootspar/relay/forwarding.py
+++ b/src/coltsfootspar/relay/forwarding.py
@@ -355,7 +355,7 @@
             return create_refusal("no-address")
         pool = self._pools.get(address)
         if pool is None:
-            pool = ConnectionPool(address, checks_unsolicited_input=False)
+            pool = ConnectionPool(address)
             self._pools[address] = pool
         try:
             connection, response = await pool.exchange(
--- a/src/coltsfootspar/relay/tests/test_reused_connections.py
+++ b/src/coltsfootspar/relay/tests/test_reused_connections.py
@@ -5,17 +5,20 @@
 
 import pytest
 import trio
+import trio.testing
 from hypothesis import given, settings, strategies as st
 
-from coltsfootspar.exceptions import MalformedRequestError
+from coltsfootspar.exceptions import MalformedRequestError, TransferError
+from coltsfootspar.relay.client import ConnectionPool, OutgoingRequest
 from coltsfootspar.relay.messages import (
     MAX_FRAMING_BYTES,
     RequestReader,
     ResponseReader,
 )
 from coltsfootspar.routes import Repetition, RouteTable, Service
+from coltsfootspar.wire import Address
 
-from .conftest import NAMES, create_route, encode_get, send_and_read
+from .conftest import HOST, NAMES, OK, create_route, encode_get, send_and_read
 
 
 def encode_answer(request_id: bytes, body: bytes) -> bytes:
@@ -139,3 +142,50 @@
     assert reader.framing_bytes <= MAX_FRAMING_BYTES
     body_bytes = sum(message.received_bytes for message in reader.messages)
     assert body_bytes <= len(MESSAGES[reader_type]) + sum(map(len, pieces)) * 40
+
+
+async def test_unreachable_server_does_not_hide_that_a_request_was_sent():
+    """Guards against a request that ran and is said not to have run.
+
+    The server reads the request on a kept connection and ends; a new connection is
+    then refused.
+    """
+    (listener,) = await trio.open_tcp_listeners(0, host=HOST)
+    pool = ConnectionPool(Address(HOST, listener.socket.getsockname()[1]))
+    request = OutgoingRequest(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+
+    async def serve_one_and_end():
+        async with await listener.accept() as stream:
+            await listener.aclose()
+            await stream.receive_some()
+            await stream.send_all(OK)
+            await stream.receive_some()
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(serve_one_and_end)
+        connection, _ = await pool.exchange(request, 100, is_retryable=True)
+        pool.return_connection(connection)
+        with pytest.raises(TransferError) as failure:
+            await pool.exchange(request, 100, is_retryable=True)
+    assert failure.value.may_have_run
+
+
+async def test_connection_that_the_peer_has_closed_is_not_used():
+    """Guards against requests that are lost with a connection known to be closed."""
+    (listener,) = await trio.open_tcp_listeners(0, host=HOST)
+    pool = ConnectionPool(Address(HOST, listener.socket.getsockname()[1]))
+    request = OutgoingRequest(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+
+    async def serve_one():
+        async with await listener.accept() as stream:
+            await stream.receive_some()
+            await stream.send_all(OK)
+
+    async with listener, trio.open_nursery() as nursery:
+        for _ in range(2):
+            nursery.start_soon(serve_one)
+            connection, _ = await pool.exchange(request, 100, is_retryable=True)
+            pool.return_connection(connection)
+            await trio.testing.wait_all_tasks_blocked()
+        nursery.cancel_scope.cancel()
+    assert pool.opened == 2
