--- a/src/coltsfootspar/fleet/node.py
+++ b/src/coltsfootspar/fleet/node.py
@@ -85,9 +85,7 @@
 
         :returns: None when no seat has this name or it has never been held.
         """
-        address = find_seat_holder(
-            seat, self.list_candidates, self._membership.get_member
-        )
+        address = find_seat_holder(seat, self._membership)
         if address is not None:
             return address
         # Until a holder is known, assume the seats of the first start, at the seeds.
--- a/src/coltsfootspar/fleet/replica.py
+++ b/src/coltsfootspar/fleet/replica.py
@@ -285,9 +285,7 @@
         After a power failure, a replica may know of an admission only from entries
         of its log that are not known to be committed.
         """
-        return find_seat_holder(
-            seat, self.membership.list_candidates, self.membership.get_member
-        )
+        return find_seat_holder(seat, self.membership)
 
     @contextlib.asynccontextmanager
     async def _open_disk(self):
--- a/src/coltsfootspar/fleet/seats.py
+++ b/src/coltsfootspar/fleet/seats.py
@@ -15,12 +15,11 @@
 """
 
 import itertools
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Sequence
 
 import attrs
 
-from coltsfootspar.membership import Member
-from coltsfootspar.routing import Candidate
+from coltsfootspar.membership import Membership
 from coltsfootspar.wire import Address, parse_address
 
 __all__ = [
@@ -61,22 +60,16 @@
     return tuple(f"seat-{number}" for number in range(1, count + 1))
 
 
-def find_seat_holder(
-    seat: str,
-    list_candidates: Callable[[str], Iterable[Candidate]],
-    get_member: Callable[[str], Member | None],
-) -> Address | None:
+def find_seat_holder(seat: str, membership: Membership) -> Address | None:
     """Returns the peer address of the member that announces a seat.
 
     When several members announce it, the highest incarnation counts.
 
-    :param list_candidates: lists the members that announce a service.
-    :param get_member: returns a member by its id.
     :returns: None when no member announces the seat.
     """
     members = [
-        get_member(candidate.node_id)
-        for candidate in list_candidates(SEAT_SERVICE_PREFIX + seat)
+        membership.get_member(candidate.node_id)
+        for candidate in membership.list_candidates(SEAT_SERVICE_PREFIX + seat)
     ]
     holders = [member for member in members if member is not None]
     if not holders:
--- a/src/coltsfootspar/relay/allowances.py
+++ b/src/coltsfootspar/relay/allowances.py
@@ -41,7 +41,7 @@
     :param ratio: retries allowed for each call of the service, over all ranks.
     """
 
-    ratio: float
+    ratio: float = 0.0
     _buckets: collections.deque = attrs.field(
         factory=lambda: collections.deque(maxlen=_BUCKETS)
     )
--- a/src/coltsfootspar/relay/backend.py
+++ b/src/coltsfootspar/relay/backend.py
@@ -77,7 +77,7 @@
 
     _names: HeaderNames
     _on_change: Callable[[], None]
-    allocator: RetryAllocator
+    allocator: RetryAllocator = attrs.field(factory=RetryAllocator)
     limiter: ConcurrencyLimiter = attrs.field(factory=create_concurrency_limiter)
     report: BackendReport | None = None
     _newest_order: tuple[int, int] = (-1, -1)
@@ -329,5 +329,6 @@
     :param on_change: called when it starts or stops taking work, or is replaced.
     :param retry_ratio: retries allowed for each call, over all nodes.
     """
-    allocator = RetryAllocator(retry_ratio * NOT_RUN_SHARE)
-    return BackendServer(names, on_change, allocator)
+    backend = BackendServer(names, on_change)
+    backend.set_retry_ratio(retry_ratio)
+    return backend
--- a/src/coltsfootspar/relay/connections.py
+++ b/src/coltsfootspar/relay/connections.py
@@ -200,7 +200,7 @@
     """An accepted connection.
 
     :param is_last_request: true when the connection closes after the response.
-    :param is_broken: true when the connection can carry no further response.
+    :param is_broken: true when the connection serves no further request.
     :param is_idle: true while no byte of a request has been received.
     :param waiting_since: start of the idle time or of the incomplete head, trio
         clock, seconds.
@@ -220,12 +220,11 @@
     is_head_timed_out: bool = False
     cancel_scope: trio.CancelScope = attrs.field(factory=trio.CancelScope)
     _exchange: Exchange | None = None
-    _has_ended: bool = False
 
     async def run(self) -> None:
         """Serves requests until either side closes the connection."""
         try:
-            while not self._has_ended:
+            while not self.is_last_request and not self.is_broken:
                 self.cancel_scope = trio.CancelScope()
                 with self.cancel_scope:
                     await self._serve_requests()
@@ -256,7 +255,7 @@
             self._end()
 
     def _end(self) -> None:
-        self._has_ended = True
+        self.is_broken = True
         self.cancel_scope.cancel()
 
     async def read_more(self, request: Request) -> None:
@@ -327,13 +326,13 @@
         while not self.is_last_request and not self.is_broken:
             request = await self._read_request()
             if request is None:
-                break
+                self.is_broken = True
+                return
             exchange = await self._serve(request)
             if exchange.is_cancelled:
                 # The handler ended first. The cancellation must not reach the next
                 # request.
                 return
-        self._has_ended = True
 
     async def _serve(self, request: Request) -> Exchange:
         exchange = self._exchange = Exchange(request, self)
@@ -348,7 +347,6 @@
         if exchange.needs_late_response:
             await exchange.on_deadline()
         await self._finish(exchange)
-        self._has_ended = self.is_last_request or self.is_broken
 
     async def _finish(self, exchange: Exchange) -> None:
         self._remove_exchange(exchange)
--- a/src/coltsfootspar/relay/forwarding.py
+++ b/src/coltsfootspar/relay/forwarding.py
@@ -337,13 +337,14 @@
                 self._retry_budget.set_allowance(
                     call.service, call.rank, reply.retry_allowance
                 )
-            if reply.error == "backend-shed":
-                # A server that rejects calls at once must not rank as the fastest one.
-                seconds = max(elapsed, call.target_latency)
-            elif reply.outcome is Outcome.NOT_RUN or is_unresponsive:
+            is_rejected = reply.error == "backend-shed"
+            if not is_rejected and (
+                reply.outcome is Outcome.NOT_RUN or is_unresponsive
+            ):
                 seconds = None
-            elif reply.status >= _FIRST_SERVER_ERROR:
-                # A server that fails immediately must not rank as the fastest one.
+            elif is_rejected or reply.status >= _FIRST_SERVER_ERROR:
+                # A server that rejects calls or fails at once must not rank as the
+                # fastest one.
                 seconds = max(elapsed, call.target_latency)
             if reply.error in _UNAVAILABLE_ERRORS or is_unresponsive:
                 self._placement.eject(candidate, is_unresponsive=is_unresponsive)
--- a/src/coltsfootspar/relay/tests/test_reused_connections.py
+++ b/src/coltsfootspar/relay/tests/test_reused_connections.py
@@ -144,15 +144,22 @@
     assert body_bytes <= len(MESSAGES[reader_type]) + sum(map(len, pieces)) * 40
 
 
+GET = OutgoingRequest(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+
+
+async def open_pool():
+    """Opens a listener and a pool of connections to it."""
+    (listener,) = await trio.open_tcp_listeners(0, host=HOST)
+    return listener, ConnectionPool(Address(HOST, listener.socket.getsockname()[1]))
+
+
 async def test_unreachable_server_does_not_hide_that_a_request_was_sent():
     """Guards against a request that ran and is said not to have run.
 
     The server reads the request on a kept connection and ends; a new connection is
     then refused.
     """
-    (listener,) = await trio.open_tcp_listeners(0, host=HOST)
-    pool = ConnectionPool(Address(HOST, listener.socket.getsockname()[1]))
-    request = OutgoingRequest(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+    listener, pool = await open_pool()
 
     async def serve_one_and_end():
         async with await listener.accept() as stream:
@@ -163,18 +170,16 @@
 
     async with trio.open_nursery() as nursery:
         nursery.start_soon(serve_one_and_end)
-        connection, _ = await pool.exchange(request, 100, is_retryable=True)
+        connection, _ = await pool.exchange(GET, 100, is_retryable=True)
         pool.return_connection(connection)
         with pytest.raises(TransferError) as failure:
-            await pool.exchange(request, 100, is_retryable=True)
+            await pool.exchange(GET, 100, is_retryable=True)
     assert failure.value.may_have_run
 
 
 async def test_connection_that_the_peer_has_closed_is_not_used():
     """Guards against requests that are lost with a connection known to be closed."""
-    (listener,) = await trio.open_tcp_listeners(0, host=HOST)
-    pool = ConnectionPool(Address(HOST, listener.socket.getsockname()[1]))
-    request = OutgoingRequest(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+    listener, pool = await open_pool()
 
     async def serve_one():
         async with await listener.accept() as stream:
@@ -184,7 +189,7 @@
     async with listener, trio.open_nursery() as nursery:
         for _ in range(2):
             nursery.start_soon(serve_one)
-            connection, _ = await pool.exchange(request, 100, is_retryable=True)
+            connection, _ = await pool.exchange(GET, 100, is_retryable=True)
             pool.return_connection(connection)
             await trio.testing.wait_all_tasks_blocked()
         nursery.cancel_scope.cancel()
--- a/src/coltsfootspar/wire/replication/commands.py
+++ b/src/coltsfootspar/wire/replication/commands.py
@@ -1,7 +1,7 @@
 """Encoding of commands, log entries and the results of commands."""
 
 import struct
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 from typing import Any
 
 import capnp
@@ -31,7 +31,7 @@
     RowRemoval,
 )
 from coltsfootspar.table.columns import CellValue
-from coltsfootspar.wire.schemas import decode_struct, load_schema
+from coltsfootspar.wire.schemas import decode_struct, fill_list, load_schema
 
 __all__ = [
     "SCHEMA",
@@ -42,7 +42,6 @@
     "encode_entries",
     "fill_change",
     "fill_change_result",
-    "fill_list",
     "fill_value",
     "read_change",
     "read_change_result",
@@ -96,15 +95,6 @@
         fill_value(builder.init("value"), edit.value)
 
 
-def fill_list(
-    builder: Any, field: str, values: Sequence[Any], fill: Callable[[Any, Any], None]
-) -> None:
-    """Writes a list, each value with a function of its own."""
-    items = builder.init(field, len(values))
-    for index, value in enumerate(values):
-        fill(items[index], value)
-
-
 def _read_edit(edit: Any) -> Edit:
     expected = edit.expectedVersion if edit.hasExpectedVersion else None
     if edit.isRemoval:
--- a/src/coltsfootspar/wire/replication/messages.py
+++ b/src/coltsfootspar/wire/replication/messages.py
@@ -33,13 +33,12 @@
     encode_entries,
     fill_change,
     fill_change_result,
-    fill_list,
     read_change,
     read_change_result,
     read_claim_result,
 )
 from coltsfootspar.wire.replication.state import fill_seat, read_seat
-from coltsfootspar.wire.schemas import create_struct
+from coltsfootspar.wire.schemas import create_struct, fill_list
 
 __all__ = [
     "decode_append",
--- a/src/coltsfootspar/wire/replication/state.py
+++ b/src/coltsfootspar/wire/replication/state.py
@@ -22,12 +22,12 @@
     decode_payload,
     fill_change,
     fill_change_result,
-    fill_list,
     fill_value,
     read_change,
     read_change_result,
     read_value,
 )
+from coltsfootspar.wire.schemas import fill_list
 
 __all__ = [
     "Incarnation",
--- a/src/coltsfootspar/wire/schemas.py
+++ b/src/coltsfootspar/wire/schemas.py
@@ -1,14 +1,20 @@
 """Cap'n Proto schemas of the inner protocol, loaded once at import."""
 
 import pathlib
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from typing import Any
 
 import capnp
 
 from coltsfootspar.exceptions import FrameError
 
-__all__ = ["add_structs", "create_struct", "decode_struct", "load_schema"]
+__all__ = [
+    "add_structs",
+    "create_struct",
+    "decode_struct",
+    "fill_list",
+    "load_schema",
+]
 
 capnp.remove_import_hook()
 
@@ -42,9 +48,16 @@
     :param name: name of the field.
     :param entries: fields of each struct by name.
     """
-    structs = message.init(name, len(entries))
-    for struct, fields in zip(structs, entries, strict=True):
-        _set_fields(struct, fields)
+    fill_list(message, name, entries, _set_fields)
+
+
+def fill_list(
+    builder: Any, field: str, values: Sequence[Any], fill: Callable[[Any, Any], None]
+) -> None:
+    """Writes a list, each value with a function of its own."""
+    items = builder.init(field, len(values))
+    for index, value in enumerate(values):
+        fill(items[index], value)
 
 
 def _set_fields(builder: Any, fields: Mapping[str, Any]) -> None:
