Log each request that is in progress when the grace period expires

A stop that ran out of its grace period left one line with a number. It could not tell whether the requests had come before the stop or late in it, from callers or from other nodes, and whether a backend server was at work on them or they waited for a body or a slot.

Each of them now has a line 'cut-at-stop' with its id, the side, its arrival (seconds after the stop began), the time in progress and what it was sent to. Requests that complete write nothing.

--- a/src/coltsfootspar/fleet/node.py
+++ b/src/coltsfootspar/fleet/node.py
@@ -28,12 +28,14 @@
     find_seat_holder,
     name_seats,
 )
+from coltsfootspar.logs import log_decision
 from coltsfootspar.membership import Membership, open_udp_port
 from coltsfootspar.relay import (
     BackendServer,
     CallReceiver,
     Exchange,
     Forwarder,
+    HeaderNames,
     RelayServer,
     TrafficSplitter,
     create_backend_server,
@@ -105,6 +107,7 @@
     """
 
     settings_file: SettingsFile
+    names: HeaderNames
     timers: TimerService
     membership: Membership
     links: PeerLinks
@@ -173,6 +176,7 @@
         await exchange.answer(200 if is_ready else 503, _READY_HEADERS, b"")
 
     async def _stop(self) -> bool:
+        stopped_at = trio.current_time()
         self.is_stopping = True
         self.membership.leave()
         self.outbound.is_draining = True
@@ -188,10 +192,31 @@
             return True
         in_flight = len(self.outbound.exchanges) + len(self.inbound.exchanges)
         logging.warning("Grace period expired with %d requests in flight", in_flight)
+        self._log_in_flight(stopped_at)
         await self.inbound.expire_in_flight()
         await self.outbound.expire_in_flight()
         return False
 
+    def _log_in_flight(self, stopped_at: float) -> None:
+        """Writes a line for each request in progress.
+
+        :param stopped_at: when the stop began, trio clock, seconds.
+        """
+        now = trio.current_time()
+        for side, server in (("caller", self.outbound), ("node", self.inbound)):
+            for exchange in server.exchanges:
+                request = exchange.request
+                log_decision(
+                    "cut-at-stop",
+                    request=request.find(self.names.request_id.lower()),
+                    side=side,
+                    arrived=round(request.arrived_at - stopped_at, 3),
+                    elapsed=round(now - request.arrived_at, 3),
+                    sent_to=sorted(exchange.sent_to),
+                    is_complete=request.is_complete,
+                    has_answered=exchange.has_answered,
+                )
+
     async def _run_maintenance(self) -> None:
         async for now in self.timers.subscribe(_MAINTENANCE_PERIOD_SECONDS):
             self.backend.expire_stale(now)
@@ -283,6 +308,7 @@
     )
     node = FleetNode(
         settings_file=settings_file,
+        names=adapter.names,
         timers=timers,
         membership=membership,
         links=links,
--- a/src/coltsfootspar/relay/backend.py
+++ b/src/coltsfootspar/relay/backend.py
@@ -245,6 +245,7 @@
     async def _send_request(self, outgoing: OutgoingCall) -> Reply:
         pool, call = self._pool, outgoing.call
         self.allocator.record_call(call.rank)
+        outgoing.sent_to.add(self.report.instance_id)
         start = trio.current_time()
         headers = self._create_headers(call)
         try:
--- a/src/coltsfootspar/relay/calls.py
+++ b/src/coltsfootspar/relay/calls.py
@@ -169,6 +169,7 @@
     :param headers: end-to-end headers of the request.
     :param body: the whole body; None without one or when it is streamed.
     :param stream: source of a body that is too long to buffer.
+    :param sent_to: ids of the nodes and backend servers that it was sent to.
     """
 
     call: Call
@@ -178,6 +179,7 @@
     request_id: bytes | None
     body: bytes | None
     stream: StreamedBody | None = None
+    sent_to: set[str] = attrs.field(factory=set)
 
     @property
     def is_retryable(self) -> bool:
--- a/src/coltsfootspar/relay/connections.py
+++ b/src/coltsfootspar/relay/connections.py
@@ -62,6 +62,7 @@
     :param has_disconnected: true once the caller has closed the connection.
     :param deadline: trio clock, seconds.
     :param on_deadline: sends the response when the deadline ends the handler.
+    :param sent_to: ids of the nodes and backend servers that the request was sent to.
     """
 
     request: Request
@@ -71,6 +72,7 @@
     has_disconnected: bool = False
     deadline: float = math.inf
     on_deadline: Callable[[], Awaitable[None]] | None = None
+    sent_to: set[str] = attrs.field(factory=set)
 
     @property
     def caller_host(self) -> str:
--- a/src/coltsfootspar/relay/forwarding.py
+++ b/src/coltsfootspar/relay/forwarding.py
@@ -354,6 +354,7 @@
         address = self._directory.find_address(node_id)
         if address is None:
             return create_refusal("no-address")
+        outgoing.sent_to.add(node_id)
         pool = self._pools.get(address)
         if pool is None:
             pool = ConnectionPool(address)
--- a/src/coltsfootspar/relay/outgoing.py
+++ b/src/coltsfootspar/relay/outgoing.py
@@ -38,6 +38,7 @@
         request_id=request.find(names.request_id.lower()),
         body=body,
         stream=stream,
+        sent_to=exchange.sent_to,
     )
 
 
