Wait in a drain for requests that have arrived unread

In a planned stop, in calm, a request that arrived in the moment of the drain was read, passed on to a server and cut without an answer when the process ended.

Closing the idle connections leaves those whose next request waits unread, so that it is served. But the drain then looked only at the requests in progress: there were none yet, so it returned at once, and the node ended while the request was at its server. The drain now also waits while a connection holds unread bytes.

The test failed before: the drain returned with no request answered.

--- a/src/coltsfootspar/relay/connections.py
+++ b/src/coltsfootspar/relay/connections.py
@@ -256,6 +256,11 @@
         if self.is_idle and peek(self.sock) is None:
             self._end()
 
+    @property
+    def has_unread_input(self) -> bool:
+        """True when a request has arrived that its task has not begun to read."""
+        return self.is_idle and bool(peek(self.sock))
+
     def _end(self) -> None:
         self.is_broken = True
         self.cancel_scope.cancel()
--- a/src/coltsfootspar/relay/server.py
+++ b/src/coltsfootspar/relay/server.py
@@ -87,9 +87,12 @@
 
     async def _wait_until_answered(self, period: float) -> None:
         # Polls: exchanges are many and short, and no event marks the end of the last.
-        while self.exchanges:  # noqa: ASYNC110
+        while self.exchanges or self._has_unread_input():  # noqa: ASYNC110
             await trio.sleep(period)
 
+    def _has_unread_input(self) -> bool:
+        return any(connection.has_unread_input for connection in self._connections)
+
     def close_idle(self) -> None:
         """Closes the connections on which no request has started."""
         for connection in self._connections:
--- a/src/coltsfootspar/relay/tests/test_server.py
+++ b/src/coltsfootspar/relay/tests/test_server.py
@@ -162,6 +162,24 @@
             assert (await stream.receive_some()).endswith(b"done")
 
 
+async def test_drain_waits_for_a_request_that_has_just_arrived(harness):
+    """Guards against a process that ends while it serves the last request it read."""
+    answered = []
+
+    async def answer_later(exchange):
+        await trio.sleep(0.01)
+        await exchange.answer(200, [], b"done")
+        answered.append(exchange)
+
+    server, address = await start_server(harness, answer_later)
+    with socket.create_connection((address.host, address.port)) as caller:
+        await trio.sleep(0.05)
+        caller.sendall(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+        with trio.fail_after(5):
+            await server.drain()
+    assert len(answered) == 1
+
+
 async def test_requests_in_flight_are_answered_when_the_server_stops(harness):
     """Guards against connections that end without a response at shutdown."""
 
