Refuse late requests that a stopping node could only cut

In a planned stop, a caller's request that arrived late in the grace period was taken, passed on to a server and cut: with 504 at 0.9 of the grace period, or with no answer where the process ended first. Requests that may not be repeated were among them.

Cause: the node went on taking requests from callers as long as a call of another node was in progress, since such a call may make calls of its own, and nothing compared the time that a new request needs with the time that is left. Between the end of the drain and the end of the process, and after the grace period had expired, a request whose head was read only then was passed on too.

From 2.3 s after SIGTERM on (the readiness lag, below the 3 s up to which the host may expect an answer; at most 0.4 of the grace period), a request is passed on only if its time limit, the caller's or the route's, passes before the node ends what is in progress: such a request ends by its own limit at the latest. Refusing all of them from then on was the other way; it would turn away short requests, and short calls of the own backend server, for up to three seconds. All others are refused as not run, with Retry-After 1 and a closed connection. The same is checked again when a body has arrived and before a request that has not run goes to a further node. Once the calls of other nodes are done, all requests are refused until the process ends, those that still wait for their bodies, too. Idle connections of callers are closed at the first of these moments; new ones are still served, so none ends unread.

Tests: with a call of another node in progress, requests that came at half of the grace period reached the server and got 504 on the code before (on a kept and on a new connection, one that may not be repeated, one whose body came late); one whose body never came got nothing. A request whose head ended during the departure reached the server and got nothing. test_requests_in_flight_are_answered_when_the_server_stops stays as it is: it says what a request gets that can't be completed. That none comes to this because it was taken late is checked by the new tests.

--- a/src/coltsfootspar/fleet/node.py
+++ b/src/coltsfootspar/fleet/node.py
@@ -1,6 +1,7 @@
 """Node process: relays calls to and from the backend server on its host."""
 
 import functools
+import math
 import random
 from collections.abc import Awaitable, Callable
 
@@ -58,6 +59,9 @@
 # After SIGTERM the host still sends callers here until two of its readiness checks
 # have failed.
 _READINESS_LAG_SECONDS = 2.3
+# Most that these two times may be of the grace period.
+_LEAVE_PROPAGATION_SHARE = 0.15
+_READINESS_LAG_SHARE = 0.4
 # Share of the grace period in which requests in flight may complete.
 _DRAIN_SHARE = 0.9
 _READY_HEADERS = [(b"Content-Type", b"text/plain")]
@@ -181,15 +185,24 @@
         self.membership.leave()
         self.outbound.is_draining = True
         self.inbound.is_draining = True
-        drain_seconds = self.settings.bounds.grace_seconds * _DRAIN_SHARE
-        with trio.move_on_after(drain_seconds):
-            await trio.sleep(_LEAVE_PROPAGATION_SECONDS)
+        grace = self.settings.bounds.grace_seconds
+        ends_at = stopped_at + grace * _DRAIN_SHARE
+        propagation = min(_LEAVE_PROPAGATION_SECONDS, grace * _LEAVE_PROPAGATION_SHARE)
+        lag = min(_READINESS_LAG_SECONDS, grace * _READINESS_LAG_SHARE)
+        with trio.move_on_at(ends_at):
+            await trio.sleep_until(stopped_at + propagation)
             self.receiver.is_leaving = True
-            await trio.sleep(_READINESS_LAG_SECONDS - _LEAVE_PROPAGATION_SECONDS)
+            await trio.sleep_until(stopped_at + lag)
+            # A request with a later deadline could be cut while a server is at work.
+            self.forwarder.ends_at = ends_at
+            self.outbound.close_idle()
             # Inbound first: calls in flight make outbound calls until they complete.
-            await self.inbound.drain()
-            await self.outbound.drain()
+            await self.inbound.finish_requests()
+            self.forwarder.ends_at = -math.inf
+            self.outbound.cancel_incomplete()
+            await self.outbound.finish_requests()
             return True
+        self.forwarder.ends_at = -math.inf
         in_flight = len(self.outbound.exchanges) + len(self.inbound.exchanges)
         logging.warning("Grace period expired with %d requests in flight", in_flight)
         self._log_in_flight(stopped_at)
--- a/src/coltsfootspar/fleet/tests/test_stopping.py
+++ b/src/coltsfootspar/fleet/tests/test_stopping.py
@@ -10,9 +10,16 @@
 from coltsfootspar.fleet.node import FleetNode, _create_node
 from coltsfootspar.fleet.reloading import SettingsFile
 from coltsfootspar.membership import open_udp_port
-from coltsfootspar.relay import BackendReport, HeaderNames
-from coltsfootspar.relay.calls import CALL_HEADER
+from coltsfootspar.relay import (
+    BackendReport,
+    CallReceiver,
+    HeaderNames,
+    create_backend_server,
+    create_relay_server,
+)
+from coltsfootspar.relay.calls import CALL_HEADER, OUTCOME_HEADER
 from coltsfootspar.routes import Repetition, Route, RouteTable, Service, Target
+from coltsfootspar.routing import Candidate
 from coltsfootspar.settings.fleet import FleetBounds, FleetNodeSettings
 from coltsfootspar.wire import Address
 
@@ -89,9 +96,22 @@
 )
 
 
+@attrs.define(eq=False)
+class StubDirectory:
+    """Directory with one other node."""
+
+    address: Address
+
+    def list_candidates(self, service):
+        return (Candidate("n-2", service, "r", "a", 16),)
+
+    def find_address(self, node_id):
+        return self.address
+
+
 @attrs.define(eq=False)
 class StoppingNode:
-    """A node and its backend server, which holds the requests that say so.
+    """A node, another one, and their backend server, which holds some requests.
 
     :param paths: paths of the requests that have reached the backend server.
     :param release: lets the held requests complete.
@@ -111,20 +131,24 @@
         listeners = await trio.open_tcp_listeners(0, host=HOST)
         port = listeners[0].socket.getsockname()[1]
         self.nursery.start_soon(trio.serve_listeners, self._serve, listeners)
-        self.nursery.start_soon(self._run)
-        self.node.routes.apply(ROUTES)
         report = BackendReport(
             "i-1", "wallet", Address(HOST, port), 16, False, 0.0, 1, 1
         )
+        other = create_backend_server(NAMES, lambda: None)
+        other.apply_report(report)
+        address = Address(HOST, find_free_port())
+        server = create_relay_server(CallReceiver(other, NAMES).handle)
+        await self.nursery.start(server.serve, address)
+        self.nursery.start_soon(self._run)
+        self.node.routes.apply(ROUTES)
         self.node.backend.apply_report(report)
+        self.node.forwarder._directory = StubDirectory(address)
         with trio.fail_after(TIMEOUT_SECONDS):
             # The node does not announce that its servers listen.
             while not await self._is_ready():  # noqa: ASYNC110
                 await trio.sleep(0.02)
 
     async def _is_ready(self) -> bool:
-        if not self.node.membership.list_candidates("wallet"):
-            return False
         try:
             stream = await trio.open_tcp_stream(HOST, self.node.settings.metrics_port)
         except OSError:
@@ -226,5 +250,118 @@
     assert [line["request"] for line in lines] == ["/long/held"]
     assert lines[0]["side"] == "caller"
     assert lines[0]["arrived"] < 0 < lines[0]["elapsed"]
-    assert lines[0]["sent_to"] == ["i-1"]
+    assert lines[0]["sent_to"] == ["n-2"]
     assert stopping.exit_codes == [3]
+
+
+@attrs.define(eq=False)
+class LateCallers:
+    """Callers whose requests arrive while a stopping node waits for a long call.
+
+    :param answers: bytes that each caller has received when its connection ended.
+    """
+
+    stopping: StoppingNode
+    answers: dict[str, bytes] = attrs.field(factory=dict)
+
+    async def call(self, name: str, stream: trio.SocketStream, data: bytes) -> None:
+        self.answers[name] = await send_and_read(stream, data)
+
+    async def open_kept(self) -> trio.SocketStream:
+        """Opens a connection and completes one request on it."""
+        stream = await self.stopping.open_caller()
+        await stream.send_all(encode("GET", "/long/first"))
+        assert b"200" in await stream.receive_some()
+        return stream
+
+    def list_passed_on(self) -> list[str]:
+        """Lists the callers whose late requests reached the backend server."""
+        return [name for name in self.answers if f"/{name}/held" in self.stopping.paths]
+
+
+def is_refused(answer: bytes) -> bool:
+    """Tells whether an answer promises that the request has not run."""
+    head = answer.partition(b"\r\n\r\n")[0] + b"\r\n"
+    return (
+        head.startswith(b"HTTP/1.1 503")
+        and OUTCOME_HEADER + b": not-run\r\n" in head
+        and b"Retry-After: " in head
+        and b"Connection: close\r\n" in head
+    )
+
+
+async def test_late_requests_are_not_passed_on_and_cut(stopping):
+    """Guards against requests that a stop takes late and cuts at a working server."""
+    late = LateCallers(stopping)
+    kept = await late.open_kept()
+    slow_body = await stopping.open_caller()
+    half_body = await stopping.open_caller()
+    length = "Content-Length: 2\r\n"
+    inbound = []
+
+    async def call_inbound():
+        inbound.append(await stopping.call_as_node("/long/inbound/held", 30.0))
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(call_inbound)
+        await stopping.wait_reached("/long/inbound/held")
+        await slow_body.send_all(encode("POST", "/once/body/held", length))
+        await half_body.send_all(encode("POST", "/once/half/held", length))
+        stopping.stop.set()
+        early = encode("POST", "/once/early/held")
+        stream = await stopping.open_caller()
+        nursery.start_soon(late.call, "early", stream, early)
+        await stopping.wait_reached("/once/early/held")
+        await trio.sleep(GRACE_SECONDS / 2)
+        async with trio.open_nursery() as callers:
+            for name, stream, data in (
+                ("long/kept", kept, encode("GET", "/long/kept/held")),
+                ("long/new", None, encode("GET", "/long/new/held")),
+                ("once/new", None, encode("POST", "/once/new/held")),
+                ("once/body", slow_body, b"ab"),
+            ):
+                stream = stream or await stopping.open_caller()
+                callers.start_soon(late.call, name, stream, data)
+        nursery.start_soon(late.call, "once/half", half_body, b"a")
+        stopping.release.set()
+    await stopping.ended.wait()
+    assert late.list_passed_on() == []
+    # An idle connection may end unread before its next request.
+    assert late.answers["long/kept"] == b"" or is_refused(late.answers["long/kept"])
+    for name in ("long/new", "once/new", "once/body", "once/half"):
+        assert is_refused(late.answers[name]), name
+    assert late.answers["early"].endswith(b"ok")
+    assert inbound[0].endswith(b"ok")
+    assert stopping.exit_codes == [0]
+
+
+async def test_request_read_during_the_departure_is_not_passed_on(
+    stopping, monkeypatch
+):
+    """Guards against a request that the end of the process cuts at its server."""
+    stream, departing = await stopping.open_caller(), trio.Event()
+    answer_read = trio.Event()
+    data = encode("POST", "/once/departure/held")
+
+    async def depart(membership):
+        departing.set()
+        await answer_read.wait()
+
+    monkeypatch.setattr(type(stopping.node.membership), "depart", depart)
+    await stream.send_all(data[:-2])
+    stopping.stop.set()
+    await departing.wait()
+    await stream.send_all(data[-2:])
+    with trio.fail_after(TIMEOUT_SECONDS):
+        answer = await receive_some_within(stream, GRACE_SECONDS / 4)
+        answer_read.set()
+        await stopping.ended.wait()
+    assert stopping.paths == []
+    assert is_refused(answer)
+
+
+async def receive_some_within(stream: trio.SocketStream, seconds: float) -> bytes:
+    """Receives bytes; empty when none arrive in time."""
+    with trio.move_on_after(seconds):
+        return await stream.receive_some()
+    return b""
--- a/src/coltsfootspar/relay/forwarding.py
+++ b/src/coltsfootspar/relay/forwarding.py
@@ -51,6 +51,9 @@
 MAX_NODES_PER_REQUEST = 4
 # Value of the Retry-After header of refusals.
 RETRY_AFTER_SECONDS = b"0.5"
+# The same for a node that stops: callers of its host reach no other node, and it is
+# back after about this time.
+STOPPING_RETRY_AFTER_SECONDS = b"1"
 _DEFAULT_DEADLINE_SECONDS = 30.0
 _FIRST_SERVER_ERROR = 500
 # Errors of a node without an available backend server for the service; they say
@@ -128,6 +131,8 @@
     :param node_id: id of the local node.
     :param host: IP address of the local host; requests from it are nested calls.
     :param service: service of the local node, sent along as the caller.
+    :param ends_at: when the node ends the requests in progress, trio clock, seconds. A
+        request with a later deadline is refused unless it may have run already.
     """
 
     _node_id: str
@@ -141,6 +146,7 @@
     _backend: BackendServer
     _names: HeaderNames
     counters: RelayCounters = attrs.field(factory=RelayCounters)
+    ends_at: float = math.inf
     _pools: dict[Address, ConnectionPool] = attrs.field(factory=dict)
 
     async def handle(self, exchange: Exchange) -> None:
@@ -157,6 +163,11 @@
             await exchange.answer(404, [], b"")
             return
         call = self._create_call(exchange, route)
+        if not self._ends_in_time(call):
+            await self._refuse(exchange, "stopping")
+            return
+        if not request.is_complete:
+            exchange.set_deadline(math.inf, lambda: self._refuse(exchange, "stopping"))
         try:
             outgoing = await create_outgoing_call(exchange, call, self._names)
         except TooLargeError:
@@ -181,6 +192,9 @@
         self._placement.forget_absent(present)
         self._retry_budget.nodes = len(present)
 
+    def _ends_in_time(self, call: Call) -> bool:
+        return call.deadline + PEER_GRACE_SECONDS <= self.ends_at
+
     def _create_call(self, exchange: Exchange, route: Route) -> Call:
         request = exchange.request
         # Assumes that clients are on other hosts: requests from the local host are
@@ -226,6 +240,9 @@
 
         :returns: true when another node should be tried.
         """
+        if not (state.may_have_run or self._ends_in_time(outgoing.call)):
+            state.error = "stopping"
+            return False
         service = outgoing.call.service
         candidates = self._directory.list_candidates(service)
         candidate = self._placement.choose(candidates, state.tried)
@@ -431,8 +448,12 @@
             error=error,
             version=self._routes.version,
         )
+        is_stopping = error == "stopping"
+        retry_after = (
+            STOPPING_RETRY_AFTER_SECONDS if is_stopping else RETRY_AFTER_SECONDS
+        )
         headers = [
-            (b"Retry-After", RETRY_AFTER_SECONDS),
+            (b"Retry-After", retry_after),
             (OUTCOME_HEADER, Outcome.NOT_RUN.encode()),
             (ERROR_HEADER, error.encode()),
         ]
--- a/src/coltsfootspar/relay/server.py
+++ b/src/coltsfootspar/relay/server.py
@@ -74,10 +74,24 @@
 
     async def drain(self) -> None:
         """Stops reading requests and waits for those in progress."""
-        self.is_draining = self.is_closing = True
+        self.is_closing = True
+        await self.finish_requests()
+
+    async def finish_requests(self) -> None:
+        """Closes idle connections and waits for the requests in progress.
+
+        Further requests are still read, so the handler has to refuse them.
+        """
+        self.is_draining = True
         self.close_idle()
         await self._wait_until_answered(CHECK_INTERVAL_SECONDS)
 
+    def cancel_incomplete(self) -> None:
+        """Ends the requests that wait for their bodies and were sent to no server."""
+        for exchange in self.exchanges:
+            if not exchange.request.is_complete and not exchange.sent_to:
+                exchange.cancel()
+
     async def expire_in_flight(self) -> None:
         """Ends the requests in progress as if their deadlines had passed."""
         for exchange in self.exchanges:
--- a/src/coltsfootspar/relay/tests/test_path.py
+++ b/src/coltsfootspar/relay/tests/test_path.py
@@ -6,7 +6,13 @@
 import pytest
 import trio
 
-from coltsfootspar.relay import Exchange, PriorityClass, create_backend_server
+from coltsfootspar.relay import (
+    CallReceiver,
+    Exchange,
+    PriorityClass,
+    create_backend_server,
+    create_relay_server,
+)
 from coltsfootspar.relay.calls import OutgoingCall, Reply
 from coltsfootspar.relay.messages import Request
 from coltsfootspar.routes import Repetition, RouteTable, Service
@@ -538,3 +544,48 @@
             while chunk := await stream.receive_some():
                 received += len(chunk)
     assert received > len(body)
+
+
+def get_status(answer: bytes) -> bytes:
+    return answer.partition(b" ")[2][:3]
+
+
+async def test_stopping_node_passes_on_only_requests_that_end_in_time(harness):
+    """Guards against a late request that a stop cuts, or refuses without need."""
+    server = await harness.add_server(answer_ok)
+    await harness.add_node("n1", server.address)
+    forwarder, relay, entry = await harness.add_entry_node()
+    relay.is_draining = True
+    statuses = []
+    for seconds in (1.0, 30.0):
+        forwarder.ends_at = trio.current_time() + seconds
+        # The time limit of the route is two seconds.
+        statuses.append(get_status(await send_and_read(entry, encode_get())))
+    forwarder.ends_at = trio.current_time() + 30.0
+    extra = f"{NAMES.deadline_ms.decode()}: 60000\r\n"
+    statuses.append(get_status(await send_and_read(entry, encode_get(extra=extra))))
+    assert statuses == [b"503", b"200", b"200"]
+    assert len(server.heads) == 2
+
+
+async def test_stopping_node_starts_no_request_at_a_further_node(harness, monkeypatch):
+    """Guards against a request that reaches its first server when the stop ends."""
+    for name in ("n1", "n2"):
+        inbound = create_relay_server(
+            CallReceiver(create_backend_server(NAMES, lambda: None), NAMES).handle
+        )
+        harness.directory.addresses[name] = Address(HOST, find_free_port())
+        await harness.nursery.start(inbound.serve, harness.directory.addresses[name])
+    forwarder, _, entry = await harness.add_entry_node()
+    asked = []
+
+    def find_address(directory, node_id):
+        asked.append(node_id)
+        forwarder.ends_at = trio.current_time()
+        return directory.addresses[node_id]
+
+    monkeypatch.setattr(type(harness.directory), "find_address", find_address)
+    answer = await send_and_read(entry, encode_get())
+    assert get_status(answer) == b"503"
+    assert b"Coltsfootspar-Error: stopping" in answer
+    assert len(asked) == 1
