Cut only what has to be cut when the grace period ends

When the grace period of a stop expired, all requests were ended alike: a request that no server had got was answered 504, which promises nothing, or was closed without an answer if its body was still on the way; an answer of a server that was being delivered was broken off.

Now a request of which nothing was sent is refused as not run, so that its caller may send it again; only requests at a server are ended with 504, as late as 0.95 of the grace period (0.9 before); answers in delivery go on until the process ends. Both sides are ended at the same time.

Tests: on the code before, the request that waited for a slot got 504, the one that waited for its body got nothing, and the answer in delivery ended before its second half.

--- a/src/coltsfootspar/fleet/node.py
+++ b/src/coltsfootspar/fleet/node.py
@@ -63,7 +63,7 @@
 _LEAVE_PROPAGATION_SHARE = 0.15
 _READINESS_LAG_SHARE = 0.4
 # Share of the grace period in which requests in flight may complete.
-_DRAIN_SHARE = 0.9
+_DRAIN_SHARE = 0.95
 _READY_HEADERS = [(b"Content-Type", b"text/plain")]
 
 
@@ -206,8 +206,9 @@
         in_flight = len(self.outbound.exchanges) + len(self.inbound.exchanges)
         logging.warning("Grace period expired with %d requests in flight", in_flight)
         self._log_in_flight(stopped_at)
-        await self.inbound.expire_in_flight()
-        await self.outbound.expire_in_flight()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.inbound.expire_in_flight)
+            nursery.start_soon(self.outbound.expire_in_flight)
         return False
 
     def _log_in_flight(self, stopped_at: float) -> None:
--- a/src/coltsfootspar/relay/forwarding.py
+++ b/src/coltsfootspar/relay/forwarding.py
@@ -415,10 +415,12 @@
             self.counters.failed += 1
             await send_reply(exchange, state.error_reply, state.error_reply.headers)
             return
+        is_unsent = not is_late and not state.may_have_run
         if is_late:
             is_past_deadline = trio.current_time() >= outgoing.call.deadline
             state.error = "deadline" if is_past_deadline else "stopping"
-        elif not state.may_have_run:
+            is_unsent = not is_past_deadline and not outgoing.sent_to
+        if is_unsent:
             await self._refuse(exchange, state.error, outgoing)
             return
         self.counters.failed += 1
--- a/src/coltsfootspar/relay/receiving.py
+++ b/src/coltsfootspar/relay/receiving.py
@@ -1,6 +1,9 @@
 """Inbound calls from other nodes, served by the local backend server."""
 
+import math
+
 import attrs
+import trio
 
 from coltsfootspar.calls import Outcome
 from coltsfootspar.exceptions import MalformedRequestError
@@ -13,6 +16,7 @@
     OUTCOME_HEADER,
     RETRIES_HEADER,
     HeaderNames,
+    OutgoingCall,
     Reply,
     create_refusal,
     decode_call_header,
@@ -55,15 +59,14 @@
         if self.is_leaving:
             await self._respond(exchange, create_refusal("leaving"))
             return
+        if not request.is_complete:
+            exchange.set_deadline(
+                math.inf, lambda: self._respond(exchange, create_refusal("leaving"))
+            )
         outgoing = await create_outgoing_call(exchange, call, self._names)
-        timeout_reply = create_refusal(
-            "backend-timeout", Outcome.MAY_HAVE_RUN, status=504
-        )
         exchange.set_deadline(
             call.deadline + BACKEND_GRACE_SECONDS,
-            lambda: self._respond(
-                exchange, attrs.evolve(timeout_reply, load=self._backend.limiter.load)
-            ),
+            lambda: self._respond_late(exchange, outgoing),
         )
         reply = await self._backend.send(outgoing)
         exchange.clear_deadline()
@@ -72,6 +75,16 @@
         finally:
             reply.finish()
 
+    async def _respond_late(self, exchange: Exchange, outgoing: OutgoingCall) -> None:
+        """Responds to a call whose deadline has passed or that the node's stop ends."""
+        load = self._backend.limiter.load
+        if trio.current_time() < outgoing.call.deadline and not outgoing.sent_to:
+            await self._respond(exchange, create_refusal("leaving", load=load))
+            return
+        outcome = Outcome.MAY_HAVE_RUN
+        reply = create_refusal("backend-timeout", outcome, status=504, load=load)
+        await self._respond(exchange, reply)
+
     async def _respond(self, exchange: Exchange, reply: Reply) -> None:
         headers = [*reply.headers, (OUTCOME_HEADER, reply.outcome.encode())]
         if reply.error:
--- a/src/coltsfootspar/relay/server.py
+++ b/src/coltsfootspar/relay/server.py
@@ -93,9 +93,13 @@
                 exchange.cancel()
 
     async def expire_in_flight(self) -> None:
-        """Ends the requests in progress as if their deadlines had passed."""
+        """Ends the requests in progress as if their deadlines had passed.
+
+        Responses that are being delivered may go on until the process ends.
+        """
         for exchange in self.exchanges:
-            exchange.cancel()
+            if not exchange.has_answered:
+                exchange.cancel()
         with trio.move_on_after(_FINAL_RESPONSES_SECONDS):
             await self._wait_until_answered(_FINAL_RESPONSES_SECONDS / 10)
 
--- a/src/coltsfootspar/relay/tests/test_path.py
+++ b/src/coltsfootspar/relay/tests/test_path.py
@@ -589,3 +589,38 @@
     assert get_status(answer) == b"503"
     assert b"Coltsfootspar-Error: stopping" in answer
     assert len(asked) == 1
+
+
+async def test_stop_refuses_what_waits_and_fails_what_runs(harness):
+    """Guards against a request that never ran and is not told so at the stop."""
+
+    async def hold(stream, head):
+        await trio.sleep_forever()
+
+    server = await harness.add_server(hold)
+    route = create_route(timeout=30.0)
+    harness.routes.table = RouteTable(1, 0, (route,), (Service("wallet", 9),))
+    backend = create_backend_server(NAMES, lambda: None)
+    backend.apply_report(create_report(server.address, slots=1))
+    harness.directory.addresses["entry"] = Address(HOST, find_free_port())
+    _, relay, entry = await harness.add_entry_node(backend)
+    answers = []
+
+    async def call(data):
+        answers.append(get_status(await send_and_read(entry, data)))
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(call, encode_get())
+        with trio.fail_after(20):
+            while not server.heads:  # noqa: ASYNC110
+                await trio.sleep(0.01)
+        nursery.start_soon(call, encode_get())
+        nursery.start_soon(call, encode_post(b"ab")[:-1])
+        with trio.fail_after(20):
+            while len(relay.exchanges) < 3:  # noqa: ASYNC110
+                await trio.sleep(0.01)
+        await trio.sleep(0.05)
+        relay.is_draining = True
+        await relay.expire_in_flight()
+    assert sorted(answers) == [b"503", b"503", b"504"]
+    assert len(server.heads) == 1
--- a/src/coltsfootspar/relay/tests/test_server.py
+++ b/src/coltsfootspar/relay/tests/test_server.py
@@ -9,6 +9,7 @@
 import trio.lowlevel
 
 from coltsfootspar.relay import RelayServer, create_relay_server
+from coltsfootspar.relay.messages import Response
 from coltsfootspar.routes import ClientLimits
 from coltsfootspar.wire import Address
 
@@ -206,6 +207,37 @@
     assert answers[0].startswith(b"HTTP/1.1 504")
 
 
+async def test_answer_in_delivery_is_not_cut_with_the_other_requests(harness):
+    """Guards against an answer of a server that a stop breaks off before its end."""
+    started, release = trio.Event(), trio.Event()
+    pieces = [b"second", b"first"]
+
+    async def stream(exchange):
+        async def read():
+            if len(pieces) == 1:
+                started.set()
+                await release.wait()
+            return pieces.pop() if pieces else b""
+
+        await exchange.stream_response(Response(status=200), [], read)
+
+    server, address = await start_server(harness, stream)
+    server.is_draining = True
+    answers = []
+
+    async def call():
+        answers.append(
+            await send_and_read(address, b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+        )
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(call)
+        await started.wait()
+        await server.expire_in_flight()
+        release.set()
+    assert answers[0].endswith(b"6\r\nsecond\r\n0\r\n\r\n")
+
+
 async def test_draining_server_still_serves_new_connections(harness):
     """Guards against reset connections while callers are still routed here."""
     server, address = await start_server(harness, echo)
