Believe only refusals that are certainly the request's own

What callers saw: 503, "not run", for a request that must run once and that a backend server was running; the node also offered it to a second server.

Cause: a faulty server writes an earlier refusal once more on a kept connection. A response without an id was taken for the answer to any request, also on a connection that had served others. A copy of a marked 503 or of a 421 then said that the present request had not run.

Copies that echo the id of the earlier request were skipped before and are now. The copies come whole or in pieces behind an interim response, with and without the true answer after them, also while a long body is still being sent.

Why this works: on a connection that was used before, a refusal counts only if it echoes the id of the request. A new connection holds no answer to another request, so there a refusal without an id still counts. Any other refusal means that the request may have run: 502, the connection closes, and the code "unidentified-response" appears in the log.

--- a/src/coltsfootspar/relay/backend.py
+++ b/src/coltsfootspar/relay/backend.py
@@ -260,6 +260,11 @@
         except TransferError as error:
             return self._create_failure(outgoing, error)
         is_not_run = self._is_marked_not_run(response)
+        if is_not_run and not connection.is_response_certain:
+            connection.close()
+            text = "a refusal does not echo the id of the request"
+            error = TransferError(text, may_have_run=True, code="unidentified-response")
+            return self._create_failure(outgoing, error)
         allowance = self._record_rejection(call) if is_not_run else None
         is_served = not is_not_run and response.status < _FIRST_SERVER_ERROR
         seconds = trio.current_time() - start if is_served else None
--- a/src/coltsfootspar/relay/client.py
+++ b/src/coltsfootspar/relay/client.py
@@ -83,6 +83,8 @@
     :param must_close: true when it cannot be used for another request.
     :param has_response_started: true once the head of the response to the current
         request has been received.
+    :param is_response_certain: true when the last response cannot belong to an
+        earlier request: it echoes the id, or nothing preceded it.
     """
 
     sock: socket.socket
@@ -91,6 +93,7 @@
     has_served_request: bool = False
     must_close: bool = False
     has_response_started: bool = False
+    is_response_certain: bool = False
     _reader: ResponseReader = attrs.field(factory=ResponseReader)
 
     def close(self) -> None:
@@ -176,6 +179,7 @@
     ) -> Response:
         messages = self._reader.messages
         interim_responses = 0
+        is_first = not self.has_served_request
         while True:
             while not messages or not messages[0].has_head:
                 await self._read_more(None)
@@ -195,10 +199,12 @@
                 await self._read_more(response)
             echoed_id = response.find(request.id_header)
             if echoed_id is None or request.request_id in (None, echoed_id):
+                is_echoed = echoed_id is not None and request.request_id is not None
+                self.is_response_certain = is_echoed or is_first
                 self._update_reuse(response)
                 return response
             # This is a late response to an earlier request.
-            self.must_close = True
+            self.must_close, is_first = True, False
             if not response.is_complete:
                 text = "the response echoes the id of another request"
                 raise TransferError(text, may_have_run=True, code="other-response")
--- a/src/coltsfootspar/relay/tests/test_reused_connections.py
+++ b/src/coltsfootspar/relay/tests/test_reused_connections.py
@@ -3,6 +3,7 @@
 import contextlib
 import itertools
 
+import attrs
 import pytest
 import trio
 import trio.testing
@@ -18,7 +19,15 @@
 from coltsfootspar.routes import Repetition, RouteTable, Service
 from coltsfootspar.wire import Address
 
-from .conftest import HOST, NAMES, OK, create_route, encode_get, send_and_read
+from .conftest import (
+    HOST,
+    NAMES,
+    OK,
+    create_route,
+    encode_get,
+    encode_post,
+    send_and_read,
+)
 
 
 def encode_answer(request_id: bytes, body: bytes) -> bytes:
@@ -78,6 +87,100 @@
             assert len(ids) == len(set(ids))
 
 
+def encode_post_with_id(
+    request_id: str, body: bytes = b"pay", extra: str = ""
+) -> bytes:
+    own_id = f"{NAMES.request_id.decode()}: {request_id}\r\n"
+    return encode_post(body, own_id + extra)
+
+
+def use_once_route(harness):
+    route = create_route(repetition=Repetition.ONCE)
+    harness.routes.table = RouteTable(1, 0, (route,), (Service("wallet", 9),))
+
+
+# Start lines and marks of refusals.
+REFUSALS = {
+    "shed": b"HTTP/1.1 503 Full\r\n%s: 1\r\n" % NAMES.not_run,
+    "misdirected": b"HTTP/1.1 421 Other\r\n",
+}
+
+
+@attrs.define(eq=False)
+class CopyingServers:
+    """Servers that refuse the first request of a connection and run the others.
+
+    While one runs, the server writes the refusal once more.
+
+    :param start: start line and mark of the refusals.
+    :param echoes: true when a refusal echoes the id of its request.
+    :param is_split: true when the copy arrives in pieces, after an interim response.
+    :param answers: true when the response to the running request follows the copy.
+    :param runs: ids of the requests that ran.
+    """
+
+    start: bytes
+    echoes: bool
+    is_split: bool = False
+    answers: bool = True
+    refusals: dict = attrs.field(factory=dict)
+    runs: list[bytes] = attrs.field(factory=list)
+
+    async def respond(self, stream, head):
+        request_id = find_request_id(head)
+        if stream not in self.refusals:
+            echo = b"%s: %s\r\n" % (NAMES.request_id, request_id)
+            refusal = self.start + (echo if self.echoes else b"")
+            self.refusals[stream] = refusal + b"Content-Length: 0\r\n\r\n"
+            await stream.send_all(self.refusals[stream])
+            return
+        self.runs.append(request_id)
+        for piece in self.cut_copy(self.refusals[stream]):
+            await stream.send_all(piece)
+            await trio.sleep(0.002)
+        if self.answers:
+            await trio.sleep(0.01)
+            await stream.send_all(encode_answer(request_id, b"for " + request_id))
+
+    def cut_copy(self, copy: bytes) -> list[bytes]:
+        if not self.is_split:
+            return [copy]
+        copy = b"HTTP/1.1 102 Processing\r\n\r\n" + copy
+        return [copy[start : start + 25] for start in range(0, len(copy), 25)]
+
+
+@pytest.mark.parametrize("start", REFUSALS.values(), ids=REFUSALS)
+@pytest.mark.parametrize("echoes", [True, False], ids=["id", "no-id"])
+@pytest.mark.parametrize("is_split", [False, True], ids=["whole", "split"])
+@pytest.mark.parametrize("answers", [True, False], ids=["answers", "silent"])
+@pytest.mark.parametrize("body", [b"pay", b"x" * 1_200_000], ids=["short", "long"])
+async def test_copy_of_a_refusal_is_not_believed(
+    harness, start, echoes, is_split, answers, body
+):
+    """Guards against a request that runs and is refused as not run, or runs twice.
+
+    A server writes an earlier refusal once more while it runs the next request.
+    """
+    servers = CopyingServers(start, echoes, is_split, answers)
+    for name in ("n1", "n2", "n3"):
+        server = await harness.add_server(servers.respond)
+        await harness.add_node(name, server.address)
+    use_once_route(harness)
+    _, _, entry = await harness.add_entry_node()
+    deadline = f"{NAMES.deadline_ms.decode()}: 300\r\n"
+    for index in range(6):
+        request_id = f"r{index}"
+        answer = await send_and_read(
+            entry, encode_post_with_id(request_id, body, deadline)
+        )
+        assert servers.runs.count(request_id.encode()) <= 1
+        if request_id.encode() in servers.runs:
+            assert answer.split(b" ")[1] in (b"200", b"502", b"504")
+            if b" 200 " in answer:
+                assert answer.endswith(f"for {request_id}".encode())
+    assert servers.runs
+
+
 MESSAGES = {
     RequestReader: (
         b"POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabc"
