Refuse late copies without an id from servers that echo ids

What callers saw: 200 with the body of an earlier answer.

Cause: a response without an id was accepted for any request. A server that echoes ids may write a copy of an earlier answer that has lost its id.

Evidence: the new test failed before: the second of two requests on one kept connection got the copy's body.

Why this works: once a response on a connection has echoed the id of its request, a response without an id is an error there, whatever its status: the request may have run, and the connection closes. Servers that never echo ids are served as before.

The mark moves from the connection to the response.

--- a/src/coltsfootspar/relay/backend.py
+++ b/src/coltsfootspar/relay/backend.py
@@ -260,9 +260,9 @@
         except TransferError as error:
             return self._create_failure(outgoing, error)
         is_not_run = self._is_marked_not_run(response)
-        if is_not_run and not connection.is_response_certain:
+        if not response.is_certain and (is_not_run or connection.echoes_ids):
             connection.close()
-            text = "a refusal does not echo the id of the request"
+            text = "the response does not echo the id of the request"
             error = TransferError(text, may_have_run=True, code="unidentified-response")
             return self._create_failure(outgoing, error)
         allowance = self._record_rejection(call) if is_not_run else None
--- a/src/coltsfootspar/relay/client.py
+++ b/src/coltsfootspar/relay/client.py
@@ -83,8 +83,7 @@
     :param must_close: true when it cannot be used for another request.
     :param has_response_started: true once the head of the response to the current
         request has been received.
-    :param is_response_certain: true when the last response cannot belong to an
-        earlier request: it echoes the id, or nothing preceded it.
+    :param echoes_ids: true once a response has echoed the id of its request.
     """
 
     sock: socket.socket
@@ -93,7 +92,7 @@
     has_served_request: bool = False
     must_close: bool = False
     has_response_started: bool = False
-    is_response_certain: bool = False
+    echoes_ids: bool = False
     _reader: ResponseReader = attrs.field(factory=ResponseReader)
 
     def close(self) -> None:
@@ -200,7 +199,8 @@
             echoed_id = response.find(request.id_header)
             if echoed_id is None or request.request_id in (None, echoed_id):
                 is_echoed = echoed_id is not None and request.request_id is not None
-                self.is_response_certain = is_echoed or is_first
+                response.is_certain = is_echoed or is_first
+                self.echoes_ids |= is_echoed
                 self._update_reuse(response)
                 return response
             # This is a late response to an earlier request.
--- a/src/coltsfootspar/relay/messages.py
+++ b/src/coltsfootspar/relay/messages.py
@@ -108,11 +108,14 @@
 
     :param is_close_delimited: true when the body extends to the end of the
         connection.
+    :param is_certain: false when it may belong to an earlier request: it echoes no id,
+        and others were sent on its connection before.
     """
 
     status: int = 0
     reason: bytes = b""
     is_close_delimited: bool = False
+    is_certain: bool = True
 
 
 @attrs.define(eq=False)
--- a/src/coltsfootspar/relay/tests/test_reused_connections.py
+++ b/src/coltsfootspar/relay/tests/test_reused_connections.py
@@ -181,6 +181,27 @@
     assert servers.runs
 
 
+async def test_copy_without_an_id_reaches_no_caller(harness):
+    """Guards against a late copy without an id from a server that echoes ids."""
+
+    async def answer(stream, head):
+        request_id = find_request_id(head)
+        if request_id != b"r0":
+            await stream.send_all(OK)
+            await trio.sleep(0.01)
+        await stream.send_all(encode_answer(request_id, b"for " + request_id))
+
+    server = await harness.add_server(answer)
+    await harness.add_node("n1", server.address)
+    use_once_route(harness)
+    _, _, entry = await harness.add_entry_node()
+    for request_id in ("r0", "r1"):
+        response = await send_and_read(entry, encode_post_with_id(request_id))
+        is_own = response.endswith(f"for {request_id}".encode())
+        assert is_own or response.startswith(b"HTTP/1.1 502")
+    assert len(server.heads) == 2
+
+
 MESSAGES = {
     RequestReader: (
         b"POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabc"
