Give a request without an id a connection of its own

What callers saw: 200 with the body of another request, for a request that had no id.

Cause: such a request was sent on a kept connection and took whatever response came first, also one that echoes an id.

Evidence: both cases of the new test failed before (copies with and without an id); the caller got the body of the first request on the connection.

Why this works: a request without an id is sent to a backend server on a new connection, which is closed after the response, so that no copy can reach it or be left for others. Requests with ids keep their connections.

--- a/src/coltsfootspar/relay/backend.py
+++ b/src/coltsfootspar/relay/backend.py
@@ -252,9 +252,7 @@
             connection, response = await pool.exchange(
                 encode_outgoing_call(outgoing, headers, self._names),
                 RESPONSE_BUFFER_BYTES,
-                max_idle=MAX_IDLE_SECONDS
-                if call.is_idempotent
-                else NON_IDEMPOTENT_IDLE_SECONDS,
+                max_idle=_find_max_idle(outgoing),
                 is_retryable=outgoing.is_retryable,
             )
         except TransferError as error:
@@ -270,6 +268,8 @@
         seconds = trio.current_time() - start if is_served else None
 
         def finish() -> None:
+            if outgoing.request_id is None:
+                connection.must_close = True
             pool.return_connection(connection)
             self.limiter.release(seconds)
 
@@ -325,6 +325,18 @@
         self._on_change()
 
 
+def _find_max_idle(outgoing: OutgoingCall) -> float:
+    """Returns the longest idle time of a connection for a call, seconds.
+
+    A request without an id has a connection of its own, since its response cannot be
+    told from those to other requests.
+    """
+    if outgoing.request_id is None:
+        return 0.0
+    is_idempotent = outgoing.call.is_idempotent
+    return MAX_IDLE_SECONDS if is_idempotent else NON_IDEMPOTENT_IDLE_SECONDS
+
+
 def create_backend_server(
     names: HeaderNames,
     on_change: Callable[[], None],
--- a/src/coltsfootspar/relay/client.py
+++ b/src/coltsfootspar/relay/client.py
@@ -271,7 +271,8 @@
 
         :param buffer_bytes: size up to which the body is read;
             :meth:`ClientConnection.read_body` returns the rest of a longer one.
-        :param max_idle: longest idle time of a connection to reuse, seconds.
+        :param max_idle: longest idle time of a connection to reuse, seconds; 0 opens a
+            new one.
         :param is_retryable: true when the request may be sent again on a new
             connection if the server had closed the idle one.
         :returns: the connection, which must be returned with
@@ -279,7 +280,7 @@
         :raises TransferError: when no connection can be opened, it ends early or the
             response is invalid.
         """
-        connection = self._take_idle(max_idle)
+        connection = self._take_idle(max_idle) if max_idle > 0 else None
         if connection is None:
             return await self._exchange_on_new(request, buffer_bytes)
         sent_at = trio.current_time()
--- a/src/coltsfootspar/relay/tests/test_reused_connections.py
+++ b/src/coltsfootspar/relay/tests/test_reused_connections.py
@@ -202,6 +202,37 @@
     assert len(server.heads) == 2
 
 
+@pytest.mark.parametrize("echoes", [True, False], ids=["id", "no-id"])
+async def test_copy_reaches_no_request_without_an_id(harness, echoes):
+    """Guards against a copy that answers a request that nothing can be compared to."""
+    first_answers = {}
+
+    async def answer(stream, head):
+        request_id = find_request_id(head) if NAMES.request_id in head else b""
+        copy = first_answers.get(stream)
+        if copy is not None:
+            await stream.send_all(copy)
+        own = encode_answer(request_id, b"for " + head.split(b" ")[1])
+        if not (echoes and request_id):
+            own = own.replace(NAMES.request_id, b"X-None")
+        first_answers.setdefault(stream, own)
+        await stream.send_all(own)
+
+    server = await harness.add_server(answer)
+    await harness.add_node("n1", server.address)
+    use_once_route(harness)
+    _, _, entry = await harness.add_entry_node()
+    data = (
+        encode_get("/views/0")
+        if echoes
+        else encode_post(b"").replace(b"views/1", b"views/0")
+    )
+    assert (await send_and_read(entry, data)).endswith(b"for /views/0")
+    for index in range(1, 4):
+        data = encode_post(b"pay").replace(b"/views/1", b"/views/%d" % index)
+        assert (await send_and_read(entry, data)).endswith(b"for /views/%d" % index)
+
+
 MESSAGES = {
     RequestReader: (
         b"POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabc"
