Send a streamed body to a second node only if it is whole

What callers saw: an upload of more than 1 MiB in chunks, refused by the first server, reached a second server with an empty body. With a length it waited for bytes that no longer came and ended with 504 instead of 503.

Cause: after a refusal that says "not run" the next node was tried whether or not the body, which is passed on while it arrives, had been read already.

Evidence: both cases of the new test failed before: chunked, two servers got a request, the second one with Content-Length 0; with a length, 504.

Why this works: a streamed body notes that it was read. Then the refusal goes to the caller, which is true and lets it try again; a node that could not be reached, before any piece was read, still leads to the next one.

--- a/src/coltsfootspar/relay/calls.py
+++ b/src/coltsfootspar/relay/calls.py
@@ -186,6 +186,11 @@
         """True when the request may run more than once and its body is buffered."""
         return self.call.is_idempotent and self.stream is None
 
+    @property
+    def has_whole_body(self) -> bool:
+        """False once a part of a streamed body has been read."""
+        return self.stream is None or not self.stream.is_started
+
 
 def create_reply(
     connection: ClientConnection,
--- a/src/coltsfootspar/relay/client.py
+++ b/src/coltsfootspar/relay/client.py
@@ -43,16 +43,18 @@
 MAX_INTERIM_RESPONSES = 16
 
 
-@attrs.frozen
+@attrs.define(eq=False)
 class StreamedBody:
     """A body that is forwarded while it is being received.
 
     :param read: returns the next piece; empty at the end.
     :param length: announced length; None for chunked transfer coding.
+    :param is_started: true once a piece may have been read.
     """
 
     read: Callable[[], Awaitable[bytes]]
     length: int | None
+    is_started: bool = False
 
 
 @attrs.frozen
@@ -157,6 +159,7 @@
         try:
             await send_all(self.sock, request.data)
             while stream is not None:
+                stream.is_started = True
                 data = await stream.read()
                 if not data:
                     break
--- a/src/coltsfootspar/relay/forwarding.py
+++ b/src/coltsfootspar/relay/forwarding.py
@@ -293,10 +293,11 @@
             return True
         state.error = reply.error or str(reply.status)
         if reply.outcome is Outcome.NOT_RUN:
-            if reply.error != "backend-shed":
-                return False
-            state.backend_attempts += 1
-            return not self._may_retry(route, outgoing.call, state)
+            is_shed = reply.error == "backend-shed"
+            state.backend_attempts += is_shed
+            if not outgoing.has_whole_body:
+                return True
+            return is_shed and not self._may_retry(route, outgoing.call, state)
         state.backend_attempts += 1
         state.may_have_run = True
         if reply.outcome is Outcome.RAN and reply.read is None:
--- a/src/coltsfootspar/relay/tests/test_path.py
+++ b/src/coltsfootspar/relay/tests/test_path.py
@@ -276,6 +276,32 @@
     assert b"Retry-After" in answer
 
 
+@pytest.mark.parametrize("is_chunked", [True, False])
+async def test_streamed_body_is_not_sent_again_without_its_beginning(
+    harness, is_chunked
+):
+    """Guards against a long body that reaches a second server empty or short."""
+
+    async def shed(stream, head):
+        await stream.send_all(
+            b"HTTP/1.1 503 Full\r\n%s: 1\r\nContent-Length: 0\r\n\r\n" % NAMES.not_run
+        )
+
+    servers = [await harness.add_server(shed) for _ in range(2)]
+    for index, server in enumerate(servers):
+        await harness.add_node(f"n{index}", server.address)
+    use_once_route(harness)
+    _, _, entry = await harness.add_entry_node()
+    data = encode_post(b"x" * 1_500_000, f"{NAMES.deadline_ms.decode()}: 800\r\n")
+    if is_chunked:
+        head, _, body = data.partition(b"\r\n\r\n")
+        head = head.replace(b"Content-Length: 1500000", b"Transfer-Encoding: chunked")
+        data = head + b"\r\n\r\n%x\r\n%s\r\n0\r\n\r\n" % (len(body), body)
+    answer = await send_and_read(entry, data)
+    assert answer.startswith(b"HTTP/1.1 503")
+    assert sum(len(server.heads) for server in servers) == 1
+
+
 async def test_leaving_server_gets_no_request(harness):
     """Guards against new work for a server that has reported that it leaves."""
     server = await harness.add_server(answer_ok)
