Log crashes of a backend server and the requests in progress

When connections break, the node now looks whether its server still accepts connections. If it refuses them, or reports a new start, the node logs "backend-crashed" with the number of requests that were in progress and the digests (method, path, caller, body) of some, and counts it on the metrics page.

The server ends 50 to 110 ms after it begins the request, so the youngest request is not the one to blame.

--- a/src/coltsfootspar/fleet/node.py
+++ b/src/coltsfootspar/fleet/node.py
@@ -355,6 +355,11 @@
             "Connections opened to the backend server.",
             lambda: node.backend.connections_opened,
         ),
+        (
+            "backend_crashes",
+            "Crashes of the backend server.",
+            lambda: node.backend.detector.crashes,
+        ),
     )
     fleet_metrics.add_gauges(
         ("slots_in_use", "Slots in use.", lambda: limiter.in_use),
--- a/src/coltsfootspar/relay/backend.py
+++ b/src/coltsfootspar/relay/backend.py
@@ -19,6 +19,7 @@
     do_nothing,
 )
 from coltsfootspar.relay.client import MAX_IDLE_SECONDS, ConnectionPool
+from coltsfootspar.relay.crash_detection import CrashDetector, create_crash_detector
 from coltsfootspar.relay.limiter import ConcurrencyLimiter, create_concurrency_limiter
 from coltsfootspar.relay.messages import Headers, Response
 from coltsfootspar.relay.outgoing import encode_outgoing_call
@@ -36,6 +37,8 @@
 RESPONSE_BUFFER_BYTES = 262_144
 DEFAULT_RETRY_RATIO = 0.2
 _MISDIRECTED_REQUEST = 421
+# Codes of transfers that end when the process of the backend server does.
+_ENDED_CODES = frozenset({"closed", "reset", "unreachable"})
 _FIRST_SERVER_ERROR = 500
 
 
@@ -72,6 +75,7 @@
 
     :param allocator: divides the retries of rejected calls among ranks.
     :param limiter: limits the calls in progress at the backend server.
+    :param detector: finds out when the backend server has crashed.
     :param report: newest report; None before the first one and once it is overdue.
     """
 
@@ -79,6 +83,9 @@
     _on_change: Callable[[], None]
     allocator: RetryAllocator = attrs.field(factory=RetryAllocator)
     limiter: ConcurrencyLimiter = attrs.field(factory=create_concurrency_limiter)
+    detector: CrashDetector = attrs.field(
+        factory=lambda: create_crash_detector(lambda digests, crashed_at: None)
+    )
     report: BackendReport | None = None
     _newest_order: tuple[int, int] = (-1, -1)
     _last_report: BackendReport | None = None
@@ -135,6 +142,8 @@
         self._down_until = now
         if previous is None or previous.address != report.address:
             self._replace_pool(report.address)
+        if previous is not None and previous.started_ms != report.started_ms:
+            self.detector.confirm()
         self.limiter.set_capacity(report.slots, now + report.warm_in)
         is_changed = previous is None or (
             previous.instance_id,
@@ -256,6 +265,8 @@
                 is_retryable=outgoing.is_retryable,
             )
         except TransferError as error:
+            if error.may_have_run and error.code in _ENDED_CODES:
+                await self.detector.record_break(pool.address, outgoing, start)
             return self._create_failure(outgoing, error)
         is_not_run = self._is_marked_not_run(response)
         if not response.is_certain and (is_not_run or connection.echoes_ids):
--- a/src/coltsfootspar/relay/calls.py
+++ b/src/coltsfootspar/relay/calls.py
@@ -4,6 +4,7 @@
 from collections.abc import Awaitable, Callable
 
 import attrs
+import xxhash
 
 from coltsfootspar.calls import Outcome
 from coltsfootspar.exceptions import MalformedRequestError
@@ -23,6 +24,7 @@
     "Load",
     "OutgoingCall",
     "Reply",
+    "compute_request_digest",
     "create_refusal",
     "create_reply",
     "decode_allowance",
@@ -170,6 +172,7 @@
     :param body: the whole body; None without one or when it is streamed.
     :param stream: source of a body that is too long to buffer.
     :param sent_to: ids of the nodes and backend servers that it was sent to.
+    :param streamed_digest: digest of a request whose body is streamed.
     """
 
     call: Call
@@ -180,6 +183,7 @@
     body: bytes | None
     stream: StreamedBody | None = None
     sent_to: set[str] = attrs.field(factory=set)
+    streamed_digest: int = 0
 
     @property
     def is_retryable(self) -> bool:
@@ -191,6 +195,28 @@
         """False once a part of a streamed body has been read."""
         return self.stream is None or not self.stream.is_started
 
+    def compute_digest(self) -> int:
+        """Returns the digest of the request; see :func:`compute_request_digest`."""
+        if self.stream is not None:
+            return self.streamed_digest
+        return compute_request_digest(
+            self.method, self.target, self.call.caller, self.body or b""
+        )
+
+
+def compute_request_digest(
+    method: bytes, target: bytes, caller: str, body: bytes
+) -> int:
+    """Returns a 64-bit digest that repeats of a request share; they differ in the id.
+
+    :param caller: service of the node to which the caller sent the request.
+    :param body: the whole body, or the beginning of one that is streamed.
+    """
+    head = b"\0".join((method, target, caller.encode(), b""))
+    digest = xxhash.xxh3_64(head)
+    digest.update(body)
+    return digest.intdigest()
+
 
 def create_reply(
     connection: ClientConnection,
--- a/src/coltsfootspar/relay/outgoing.py
+++ b/src/coltsfootspar/relay/outgoing.py
@@ -1,6 +1,11 @@
 """Requests to be sent to another node or to the backend server."""
 
-from coltsfootspar.relay.calls import Call, HeaderNames, OutgoingCall
+from coltsfootspar.relay.calls import (
+    Call,
+    HeaderNames,
+    OutgoingCall,
+    compute_request_digest,
+)
 from coltsfootspar.relay.client import OutgoingRequest, StreamedBody
 from coltsfootspar.relay.connections import Exchange
 from coltsfootspar.relay.messages import Headers, encode_request, filter_headers
@@ -25,11 +30,15 @@
     if not request.is_complete:
         await exchange.buffer_body(MAX_BUFFERED_BODY_BYTES)
     headers = filter_headers(request, names.not_forwarded)
-    body, stream = None, None
+    body, stream, streamed_digest = None, None, 0
     if request.is_complete:
         body = request.take_body() if request.has_body else None
     else:
         stream = StreamedBody(exchange.read_body, request.content_length)
+        start = b"".join(request.body_parts)[:MAX_BUFFERED_BODY_BYTES]
+        streamed_digest = compute_request_digest(
+            request.method, request.target, call.caller, start
+        )
     return OutgoingCall(
         call=call,
         method=request.method,
@@ -39,6 +48,7 @@
         body=body,
         stream=stream,
         sent_to=exchange.sent_to,
+        streamed_digest=streamed_digest,
     )
 
 
--- a/src/coltsfootspar/relay/sockets.py
+++ b/src/coltsfootspar/relay/sockets.py
@@ -18,6 +18,7 @@
     "accept",
     "connect",
     "find_readable",
+    "is_refusing",
     "set_user_timeout",
     "listen",
     "peek",
@@ -167,3 +168,18 @@
     for descriptor in descriptors:
         poller.register(descriptor, select.POLLIN)
     return [descriptor for descriptor, _ in poller.poll(0)]
+
+
+async def is_refusing(address: Address, timeout: float) -> bool:
+    """Tells whether a host refuses connections because no process listens there.
+
+    :param timeout: seconds; a host that does not respond in time is not refusing.
+    """
+    with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as sock:
+        sock.setblocking(False)
+        code = sock.connect_ex((address.host, address.port))
+        if code == errno.EINPROGRESS:
+            with trio.move_on_after(timeout):
+                await trio.lowlevel.wait_writable(sock)
+                code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        return code == errno.ECONNREFUSED
