Keep requests that crash servers away from further ones

One request ended each server that began to run it; its callers and the nodes' retries sent it on, and each server that came back was ended again within half a second.

Cause: nothing outlived one client attempt. The retry budget counts shares of traffic, and a repeat of the request is a new attempt with a new id.

Change: the nodes of a service count crashes by request (method, path, caller, body). All requests in progress at a crash are counted, since the server ends some time after it begins the one to blame. A node that sees a crash tells the others, and takes in whether one of them has had an answer to the request since; a request with three crashes and no answer is blocked on all nodes of the service and refused as not run, with the time left as Retry-After. Blocks are repeated each second for nodes that have started or were cut off. After 10 s one copy goes through, on one node first; another crash blocks ten times as long. Crashes within 30 ms of each other count once: they have a common cause, such as a loss of power.

Why it holds: the count does not depend on which node a copy comes in at, and a server can be reached only through its node, which refuses.

--- a/src/coltsfootspar/fleet/node.py
+++ b/src/coltsfootspar/fleet/node.py
@@ -34,12 +34,15 @@
 from coltsfootspar.relay import (
     BackendServer,
     CallReceiver,
+    CrashNotifier,
     Exchange,
     Forwarder,
     HeaderNames,
     RelayServer,
     TrafficSplitter,
     create_backend_server,
+    create_crash_notifier,
+    create_peer_handler,
     create_placement,
     create_relay_server,
     create_retry_budget,
@@ -122,6 +125,7 @@
     outbound: RelayServer
     inbound: RelayServer
     receiver: CallReceiver
+    notifier: CrashNotifier
     control: RelayServer
     ready: RelayServer
     metrics: RelayServer
@@ -152,6 +156,7 @@
             nursery.start_soon(self.membership.run)
             nursery.start_soon(self.routes.follow, self.client)
             nursery.start_soon(self._run_maintenance)
+            nursery.start_soon(self.notifier.run, self.timers)
             nursery.start_soon(self.settings_file.poll, self.timers)
             await nursery.start(self.control.serve, settings.control)
             await nursery.start(self.inbound.serve, settings.inbound)
@@ -317,6 +322,9 @@
     fleet_metrics = create_fleet_metrics()
     forwarder.counters.observe_seconds = fleet_metrics.observe_seconds
     receiver = CallReceiver(backend, adapter.names)
+    notifier = create_crash_notifier(
+        settings.id, backend.guard, directory, lambda: backend.service, source
+    )
     control = create_control_handler(
         adapter, NodeControl(backend, settings.service).serve
     )
@@ -331,8 +339,9 @@
         backend=backend,
         forwarder=forwarder,
         outbound=create_relay_server(forwarder.handle),
-        inbound=create_relay_server(receiver.handle),
+        inbound=create_relay_server(create_peer_handler(receiver.handle, notifier)),
         receiver=receiver,
+        notifier=notifier,
         control=create_relay_server(control.handle),
         ready=create_relay_server(lambda exchange: node.handle_readiness(exchange)),
         metrics=create_relay_server(create_metrics_handler(fleet_metrics.render)),
@@ -358,7 +367,7 @@
         (
             "backend_crashes",
             "Crashes of the backend server.",
-            lambda: node.backend.detector.crashes,
+            lambda: node.backend.guard.detector.crashes,
         ),
     )
     fleet_metrics.add_gauges(
@@ -366,4 +375,9 @@
         ("slots", "Slots of the server.", lambda: limiter.limit),
         ("waiting", "Calls that wait for a slot.", lambda: limiter.load.waiting),
         ("routes_version", "Version in force.", lambda: node.routes.version),
+        (
+            "blocked_requests",
+            "Requests kept away because servers crashed under them.",
+            lambda: len(node.backend.guard.records.list_blocked()),
+        ),
     )
--- a/src/coltsfootspar/relay/__init__.py
+++ b/src/coltsfootspar/relay/__init__.py
@@ -7,6 +7,11 @@
 )
 from coltsfootspar.relay.calls import Call, HeaderNames, Load, PriorityClass, Reply
 from coltsfootspar.relay.connections import Exchange
+from coltsfootspar.relay.crash_notices import (
+    CrashNotifier,
+    create_crash_notifier,
+    create_peer_handler,
+)
 from coltsfootspar.relay.forwarding import Forwarder, RelayCounters
 from coltsfootspar.relay.limiter import ConcurrencyLimiter, create_concurrency_limiter
 from coltsfootspar.relay.placement import Placement, create_placement
@@ -20,6 +25,7 @@
     "BackendServer",
     "Call",
     "CallReceiver",
+    "CrashNotifier",
     "Exchange",
     "Forwarder",
     "HeaderNames",
@@ -33,6 +39,8 @@
     "TrafficSplitter",
     "ConcurrencyLimiter",
     "create_backend_server",
+    "create_crash_notifier",
+    "create_peer_handler",
     "create_placement",
     "create_relay_server",
     "create_retry_budget",
--- a/src/coltsfootspar/relay/backend.py
+++ b/src/coltsfootspar/relay/backend.py
@@ -1,5 +1,7 @@
 """Local backend server: its status reports, and requests to it."""
 
+import math
+import random
 from collections.abc import Callable
 
 import attrs
@@ -10,8 +12,11 @@
 from coltsfootspar.logs import log_decision
 from coltsfootspar.relay.allowances import NOT_RUN_SHARE, RetryAllocator
 from coltsfootspar.relay.calls import (
+    BLOCKED_ERROR,
+    RETRY_AFTER_HEADER,
     Call,
     HeaderNames,
+    Load,
     OutgoingCall,
     Reply,
     create_refusal,
@@ -19,7 +24,7 @@
     do_nothing,
 )
 from coltsfootspar.relay.client import MAX_IDLE_SECONDS, ConnectionPool
-from coltsfootspar.relay.crash_detection import CrashDetector, create_crash_detector
+from coltsfootspar.relay.crash_guard import CrashGuard, create_crash_guard
 from coltsfootspar.relay.limiter import ConcurrencyLimiter, create_concurrency_limiter
 from coltsfootspar.relay.messages import Headers, Response
 from coltsfootspar.relay.outgoing import encode_outgoing_call
@@ -75,7 +80,7 @@
 
     :param allocator: divides the retries of rejected calls among ranks.
     :param limiter: limits the calls in progress at the backend server.
-    :param detector: finds out when the backend server has crashed.
+    :param guard: keeps requests away that crash servers.
     :param report: newest report; None before the first one and once it is overdue.
     """
 
@@ -83,8 +88,8 @@
     _on_change: Callable[[], None]
     allocator: RetryAllocator = attrs.field(factory=RetryAllocator)
     limiter: ConcurrencyLimiter = attrs.field(factory=create_concurrency_limiter)
-    detector: CrashDetector = attrs.field(
-        factory=lambda: create_crash_detector(lambda digests, crashed_at: None)
+    guard: CrashGuard = attrs.field(
+        factory=lambda: create_crash_guard(random.SystemRandom())
     )
     report: BackendReport | None = None
     _newest_order: tuple[int, int] = (-1, -1)
@@ -143,7 +148,7 @@
         if previous is None or previous.address != report.address:
             self._replace_pool(report.address)
         if previous is not None and previous.started_ms != report.started_ms:
-            self.detector.confirm()
+            self.guard.record_restart()
         self.limiter.set_capacity(report.slots, now + report.warm_in)
         is_changed = previous is None or (
             previous.instance_id,
@@ -249,6 +254,9 @@
             return create_refusal("backend-down")
         if outgoing.call.deadline <= now:
             return create_refusal("deadline")
+        seconds = self.guard.find_block(outgoing)
+        if seconds:
+            return _create_block_refusal(seconds, self.limiter.load)
         return None
 
     async def _send_request(self, outgoing: OutgoingCall) -> Reply:
@@ -257,6 +265,7 @@
         outgoing.sent_to.add(self.report.instance_id)
         start = trio.current_time()
         headers = self._create_headers(call)
+        self.guard.record_start(outgoing)
         try:
             connection, response = await pool.exchange(
                 encode_outgoing_call(outgoing, headers, self._names),
@@ -266,7 +275,7 @@
             )
         except TransferError as error:
             if error.may_have_run and error.code in _ENDED_CODES:
-                await self.detector.record_break(pool.address, outgoing, start)
+                await self.guard.record_break(pool.address, outgoing, start)
             return self._create_failure(outgoing, error)
         is_not_run = self._is_marked_not_run(response)
         if not response.is_certain and (is_not_run or connection.echoes_ids):
@@ -274,6 +283,8 @@
             text = "the response does not echo the id of the request"
             error = TransferError(text, may_have_run=True, code="unidentified-response")
             return self._create_failure(outgoing, error)
+        if not is_not_run:
+            self.guard.record_answer(outgoing)
         allowance = self._record_rejection(call) if is_not_run else None
         is_served = not is_not_run and response.status < _FIRST_SERVER_ERROR
         seconds = trio.current_time() - start if is_served else None
@@ -348,6 +359,13 @@
     return MAX_IDLE_SECONDS if is_idempotent else NON_IDEMPOTENT_IDLE_SECONDS
 
 
+def _create_block_refusal(seconds: float, load: Load) -> Reply:
+    refusal = create_refusal(BLOCKED_ERROR, load=load)
+    return attrs.evolve(
+        refusal, headers=[(RETRY_AFTER_HEADER, b"%d" % math.ceil(seconds))]
+    )
+
+
 def create_backend_server(
     names: HeaderNames,
     on_change: Callable[[], None],
--- a/src/coltsfootspar/relay/calls.py
+++ b/src/coltsfootspar/relay/calls.py
@@ -12,12 +12,14 @@
 from coltsfootspar.relay.messages import Headers, Response, filter_headers
 
 __all__ = [
+    "BLOCKED_ERROR",
     "CALL_HEADER",
     "ERROR_HEADER",
     "INTERNAL_HEADERS",
     "LOAD_HEADER",
     "OUTCOME_HEADER",
     "RETRIES_HEADER",
+    "RETRY_AFTER_HEADER",
     "Call",
     "HeaderNames",
     "PriorityClass",
@@ -41,6 +43,10 @@
 ERROR_HEADER = b"Coltsfootspar-Error"
 LOAD_HEADER = b"Coltsfootspar-Load"
 RETRIES_HEADER = b"Coltsfootspar-Retries"
+RETRY_AFTER_HEADER = b"Retry-After"
+# Error of a node that keeps a request away from its server because others have
+# crashed under it; further nodes refuse it too.
+BLOCKED_ERROR = "blocked"
 INTERNAL_HEADERS = frozenset(
     name.lower()
     for name in (
@@ -163,6 +169,10 @@
     finish: Callable[[], None] = do_nothing
     retry_allowance: float | None = None
 
+    def find_header(self, name: bytes) -> bytes:
+        """Returns the value of a header; empty without it."""
+        return dict(self.headers).get(name, b"")
+
 
 @attrs.frozen
 class OutgoingCall:
--- /dev/null
+++ b/src/coltsfootspar/relay/crashes.py
@@ -0,0 +1,221 @@
+"""Requests under which backend servers have crashed.
+
+Prevents a request that crashes each server which begins to run it from taking down
+all servers of a service: its caller sends it again, and each copy ends another one.
+All requests in progress at a crash are suspects. One that no server has answered
+between several crashes is blocked for a time; then one copy of it is let through.
+"""
+
+import math
+import random
+
+import attrs
+import trio
+
+from coltsfootspar.wire.crashes import CrashEntry
+
+__all__ = ["CrashRecords", "create_crash_records"]
+
+CRASHES_UNTIL_BLOCKED = 3
+# Crashes within this time have a common cause, for example a loss of power.
+COMMON_CAUSE_SECONDS = 0.03
+BLOCK_SECONDS = 10.0
+# Each further block lasts this many times longer.
+BLOCK_GROWTH = 10
+MAX_BLOCK_SECONDS = 3600.0
+# Time for which one copy may run after a block, before another one is let through.
+TRIAL_SECONDS = 5.0
+# Records without a block are dropped this long after the latest crash.
+RECORD_TTL_SECONDS = 600.0
+MAX_RECORDS = 2048
+_NEVER = -math.inf
+
+
+@attrs.define(eq=False)
+class _Record:
+    """What is known of one request; times are of the trio clock, seconds.
+
+    :param crashes: crashes since the latest answer.
+    :param level: how often it has been blocked since the latest answer.
+    :param is_on_trial: true while a copy runs that was let through after a block.
+    """
+
+    crashes: int = 0
+    first_crash_at: float = _NEVER
+    last_crash_at: float = _NEVER
+    answered_at: float = _NEVER
+    blocked_until: float = _NEVER
+    level: int = 0
+    is_on_trial: bool = False
+
+    @property
+    def expires_at(self) -> float:
+        """Time from which the record is of no use."""
+        latest = max(self.last_crash_at, self.answered_at)
+        return max(latest + RECORD_TTL_SECONDS, self.blocked_until)
+
+
+@attrs.define(eq=False)
+class CrashRecords:
+    """Counts crashes by request and decides which requests are blocked.
+
+    Nodes of one service tell each other of crashes, blocks and answers, so that a
+    crash counts wherever it happened.
+    """
+
+    _random: random.Random
+    _records: dict[int, _Record] = attrs.field(factory=dict)
+
+    @property
+    def is_empty(self) -> bool:
+        """True when no request is suspected."""
+        return not self._records
+
+    def count_crash(self, digest: int, crashed_at: float) -> None:
+        """Counts a crash of a server that had begun a request.
+
+        :param crashed_at: trio clock, seconds.
+        """
+        record = self._records.setdefault(digest, _Record())
+        if record.answered_at > crashed_at:
+            return
+        is_separate = abs(crashed_at - record.last_crash_at) > COMMON_CAUSE_SECONDS
+        record.last_crash_at = max(record.last_crash_at, crashed_at)
+        if not record.crashes:
+            record.first_crash_at = crashed_at
+        if is_separate:
+            record.crashes += 1
+        if len(self._records) > MAX_RECORDS:
+            self._drop_least_suspected()
+
+    def record_answer(self, digest: int) -> bool:
+        """Clears a request that a server has answered.
+
+        :returns: true when it had been blocked, so that other nodes must be told.
+        """
+        record = self._records.get(digest)
+        if record is None:
+            return False
+        was_blocked = record.level > 0
+        self._records[digest] = _Record(answered_at=trio.current_time())
+        return was_blocked
+
+    def find_block(self, digest: int) -> float:
+        """Returns for how long a request must not reach a server.
+
+        :returns: seconds; 0 when it may be sent.
+        """
+        record = self._records.get(digest)
+        if record is None:
+            return 0.0
+        return max(0.0, record.blocked_until - trio.current_time())
+
+    def begin_trial(self, digest: int) -> None:
+        """Holds back further copies while one runs after the end of a block."""
+        record = self._records.get(digest)
+        if record is not None and record.level:
+            record.blocked_until = trio.current_time() + TRIAL_SECONDS
+            record.is_on_trial = True
+
+    def block_suspects(self, digests: list[int]) -> list[int]:
+        """Blocks those of the requests that have crashed enough servers.
+
+        :returns: digests that are newly blocked.
+        """
+        now = trio.current_time()
+        blocked = []
+        for digest in digests:
+            record = self._records.get(digest)
+            if record is None or record.crashes < CRASHES_UNTIL_BLOCKED:
+                continue
+            if record.blocked_until > now and not record.is_on_trial:
+                continue
+            seconds = BLOCK_SECONDS * BLOCK_GROWTH**record.level
+            record.level += 1
+            record.is_on_trial = False
+            record.blocked_until = now + min(MAX_BLOCK_SECONDS, seconds)
+            blocked.append(digest)
+        return blocked
+
+    def adopt_block(self, entry: CrashEntry) -> None:
+        """Adopts a block of another node unless a server here has answered since.
+
+        It lasts up to twice as long here, so that the nodes let copies through at
+        different times.
+        """
+        now = trio.current_time()
+        record = self._records.setdefault(entry.digest, _Record())
+        if record.answered_at >= now - entry.first_age or record.level >= entry.level:
+            return
+        record.crashes = max(record.crashes, entry.crashes)
+        record.first_crash_at = now - entry.first_age
+        record.last_crash_at = max(record.last_crash_at, now - entry.last_age)
+        record.level, record.is_on_trial = entry.level, False
+        seconds = entry.blocked_for * (1 + self._random.random())
+        record.blocked_until = now + seconds
+
+    def merge_reply(self, entry: CrashEntry) -> None:
+        """Takes in what another node knows of a request that has just crashed a server.
+
+        An answer after the first crash clears it; otherwise the higher count holds.
+        """
+        record = self._records.get(entry.digest)
+        if record is None:
+            return
+        now = trio.current_time()
+        answered_at = now - entry.answered_age
+        if answered_at >= record.first_crash_at:
+            self._records[entry.digest] = _Record(answered_at=answered_at)
+            return
+        record.crashes = max(record.crashes, entry.crashes)
+        record.level = max(record.level, entry.level)
+        if entry.crashes:
+            record.first_crash_at = min(record.first_crash_at, now - entry.first_age)
+
+    def describe(self, digest: int) -> CrashEntry | None:
+        """Returns the entry of a request for other nodes; None when it is unknown."""
+        record = self._records.get(digest)
+        if record is None:
+            return None
+        now = trio.current_time()
+        return CrashEntry(
+            digest=digest,
+            crashes=record.crashes,
+            first_age=max(0.0, now - record.first_crash_at) if record.crashes else 0.0,
+            last_age=max(0.0, now - record.last_crash_at) if record.crashes else 0.0,
+            answered_age=now - record.answered_at,
+            blocked_for=max(0.0, record.blocked_until - now),
+            level=record.level,
+        )
+
+    def list_blocked(self) -> list[CrashEntry]:
+        """Lists the entries of the requests that are blocked now."""
+        entries = (self.describe(digest) for digest in self._records)
+        return [entry for entry in entries if entry.blocked_for]
+
+    def drop_expired(self, now: float) -> None:
+        """Forgets requests some time after their latest crash or block.
+
+        :param now: trio clock, seconds.
+        """
+        for digest in [d for d, r in self._records.items() if r.expires_at < now]:
+            del self._records[digest]
+
+    def _drop_least_suspected(self) -> None:
+        ranked = sorted(
+            self._records,
+            key=lambda digest: (
+                self._records[digest].crashes,
+                self._records[digest].expires_at,
+            ),
+        )
+        for digest in ranked[: MAX_RECORDS // 4]:
+            del self._records[digest]
+
+
+def create_crash_records(rng: random.Random) -> CrashRecords:
+    """Creates records without any crash.
+
+    :param rng: spreads the ends of blocks over the nodes.
+    """
+    return CrashRecords(rng)
--- a/src/coltsfootspar/relay/forwarding.py
+++ b/src/coltsfootspar/relay/forwarding.py
@@ -12,11 +12,13 @@
 from coltsfootspar.logs import log_decision
 from coltsfootspar.relay.backend import RESPONSE_BUFFER_BYTES, BackendServer
 from coltsfootspar.relay.calls import (
+    BLOCKED_ERROR,
     CALL_HEADER,
     ERROR_HEADER,
     LOAD_HEADER,
     OUTCOME_HEADER,
     RETRIES_HEADER,
+    RETRY_AFTER_HEADER,
     Call,
     HeaderNames,
     OutgoingCall,
@@ -115,6 +117,7 @@
     :param may_have_run: true once a backend server may have run the request.
     :param error: error code or status of the latest failed attempt.
     :param error_reply: latest complete error response of a backend server.
+    :param retry_after: value of the Retry-After header of a refusal.
     """
 
     tried: set[str] = attrs.field(factory=set)
@@ -122,6 +125,7 @@
     may_have_run: bool = False
     error: str = "no-candidate"
     error_reply: Reply | None = None
+    retry_after: bytes = RETRY_AFTER_SECONDS
 
 
 @attrs.define(eq=False)
@@ -293,6 +297,9 @@
             return True
         state.error = reply.error or str(reply.status)
         if reply.outcome is Outcome.NOT_RUN:
+            if reply.error == BLOCKED_ERROR:
+                state.retry_after = reply.find_header(RETRY_AFTER_HEADER)
+                return True
             is_shed = reply.error == "backend-shed"
             state.backend_attempts += is_shed
             if not outgoing.has_whole_body:
@@ -422,7 +429,7 @@
             state.error = "deadline" if is_past_deadline else "stopping"
             is_unsent = not is_past_deadline and not outgoing.sent_to
         if is_unsent:
-            await self._refuse(exchange, state.error, outgoing)
+            await self._refuse(exchange, state.error, outgoing, state.retry_after)
             return
         self.counters.failed += 1
         is_timeout = is_late or state.error == "backend-timeout"
@@ -440,7 +447,11 @@
         await exchange.answer(status, headers, b"")
 
     async def _refuse(
-        self, exchange: Exchange, error: str, outgoing: OutgoingCall | None = None
+        self,
+        exchange: Exchange,
+        error: str,
+        outgoing: OutgoingCall | None = None,
+        retry_after: bytes = RETRY_AFTER_SECONDS,
     ) -> None:
         self.counters.refused += 1
         request = exchange.request
@@ -451,12 +462,10 @@
             error=error,
             version=self._routes.version,
         )
-        is_stopping = error == "stopping"
-        retry_after = (
-            STOPPING_RETRY_AFTER_SECONDS if is_stopping else RETRY_AFTER_SECONDS
-        )
+        if error == "stopping":
+            retry_after = STOPPING_RETRY_AFTER_SECONDS
         headers = [
-            (b"Retry-After", retry_after),
+            (RETRY_AFTER_HEADER, retry_after),
             (OUTCOME_HEADER, Outcome.NOT_RUN.encode()),
             (ERROR_HEADER, error.encode()),
         ]
