--- a/src/coltsfootspar/relay/allowances.py
+++ b/src/coltsfootspar/relay/allowances.py
@@ -6,10 +6,9 @@
 the budget on the most important ranks first.
 """
 
-import collections
-
 import attrs
-import trio
+
+from coltsfootspar.relay.windows import SlidingCounts
 
 __all__ = ["NOT_RUN_SHARE", "RetryAllocator"]
 
@@ -22,16 +21,8 @@
 _BUCKETS = 4
 
 
-@attrs.define(eq=False)
-class _Counts:
-    """Calls and rejected calls of each rank.
-
-    :param bucket: number of the time bucket that they fall into.
-    """
-
-    bucket: int
-    calls: collections.Counter = attrs.field(factory=collections.Counter)
-    rejected: collections.Counter = attrs.field(factory=collections.Counter)
+def _create_counts() -> SlidingCounts:
+    return SlidingCounts(_BUCKET_SECONDS, _BUCKETS)
 
 
 @attrs.define(eq=False)
@@ -42,35 +33,26 @@
     """
 
     ratio: float = 0.0
-    _buckets: collections.deque = attrs.field(
-        factory=lambda: collections.deque(maxlen=_BUCKETS)
-    )
+    _calls: SlidingCounts = attrs.field(factory=_create_counts)
+    _rejected: SlidingCounts = attrs.field(factory=_create_counts)
 
     def record_call(self, rank: int) -> None:
         """Counts a call that the backend server has received."""
-        self._get_counts().calls[rank] += 1
+        self._calls.add(rank)
 
     def record_rejection(self, rank: int) -> None:
         """Counts a call that the backend server has rejected without running it."""
-        self._get_counts().rejected[rank] += 1
+        self._rejected.add(rank)
 
     def compute_allowance(self, rank: int) -> float:
         """Returns how many retries for each of its calls a rank may have.
 
         The retries that more important ranks need come off first.
         """
-        oldest = self._get_counts().bucket - _BUCKETS
-        recent = [counts for counts in self._buckets if counts.bucket > oldest]
-        calls = sum((counts.calls for counts in recent), collections.Counter())
-        rejected = sum((counts.rejected for counts in recent), collections.Counter())
+        calls = self._calls.compute_totals()
         if not calls[rank]:
             return self.ratio
+        rejected = self._rejected.compute_totals()
         needed = sum(count for other, count in rejected.items() if other < rank)
         available = max(0.0, self.ratio * calls.total() - needed)
         return min(MAX_RETRIES_PER_CALL, available / calls[rank])
-
-    def _get_counts(self) -> _Counts:
-        bucket = int(trio.current_time() / _BUCKET_SECONDS)
-        if not self._buckets or self._buckets[-1].bucket != bucket:
-            self._buckets.append(_Counts(bucket))
-        return self._buckets[-1]
--- a/src/coltsfootspar/relay/retries.py
+++ b/src/coltsfootspar/relay/retries.py
@@ -12,6 +12,7 @@
 import trio
 
 from coltsfootspar.relay.allowances import NOT_RUN_SHARE
+from coltsfootspar.relay.windows import SlidingCounts
 
 __all__ = ["RetryBudget", "create_retry_budget"]
 
@@ -22,38 +23,24 @@
 _FIXED_SHARE = 0.4
 _BUCKETS = 10
 ALLOWANCE_TTL_SECONDS = 2.0
-
-
-def _create_buckets() -> collections.deque:
-    return collections.deque([0] * _BUCKETS, maxlen=_BUCKETS)
+_NO_ALLOWANCE = (0.0, -float("inf"))
 
 
 @attrs.define(eq=False)
-class _SlidingWindow:
-    """Counts of one rank of a service in the time buckets of a sliding window.
+class _ServiceCounts:
+    """Counts of a service by rank.
 
     :param requests: requests that were sent for the first time.
     :param retries: retries of requests that have not run.
     :param may_have_run_retries: retries of requests that may have run before.
-    :param bucket: number of the current time bucket.
-    :param allowance: retries for each request that the receivers allow.
-    :param allowed_at: time at which a receiver set it, trio clock, seconds.
+    :param allowances: retries for each request that the receivers of a rank allow,
+        and the time at which one set it, trio clock, seconds.
     """
 
-    requests: collections.deque = attrs.field(factory=_create_buckets)
-    retries: collections.deque = attrs.field(factory=_create_buckets)
-    may_have_run_retries: collections.deque = attrs.field(factory=_create_buckets)
-    bucket: int = 0
-    allowance: float = 0.0
-    allowed_at: float = -float("inf")
-
-    def advance(self, bucket: int) -> None:
-        """Advances the window to a time bucket and drops the expired counts."""
-        for _ in range(min(_BUCKETS, bucket - self.bucket)):
-            self.requests.append(0)
-            self.retries.append(0)
-            self.may_have_run_retries.append(0)
-        self.bucket = bucket
+    requests: SlidingCounts
+    retries: SlidingCounts
+    may_have_run_retries: SlidingCounts
+    allowances: dict[int, tuple[float, float]] = attrs.field(factory=dict)
 
 
 @attrs.define(eq=False)
@@ -69,17 +56,16 @@
     fixed: float
     _window_seconds: float
     nodes: int = 1
-    # By service, then by rank.
-    _windows: dict[str, dict[int, _SlidingWindow]] = attrs.field(factory=dict)
+    _counts: dict[str, _ServiceCounts] = attrs.field(factory=dict)
 
     def record_request(self, service: str, rank: int = 0) -> None:
         """Counts a request that is sent for the first time; it adds to the budget."""
-        self._get_window(service, rank).requests[-1] += 1
+        self._get_counts(service).requests.add(rank)
 
     def set_allowance(self, service: str, rank: int, allowance: float) -> None:
         """Sets how many retries of a rank its receivers allow for each request."""
-        window = self._get_window(service, rank)
-        window.allowance, window.allowed_at = allowance, trio.current_time()
+        allowances = self._get_counts(service).allowances
+        allowances[rank] = allowance, trio.current_time()
 
     def try_spend(self, service: str, rank: int = 0, *, may_have_run: bool) -> bool:
         """Counts a retry if the budget allows it.
@@ -87,47 +73,47 @@
         :param may_have_run: true when the request may have run before.
         :returns: false when the retry must not be sent.
         """
-        window = self._get_window(service, rank)
-        windows = [self._get_window(service, other) for other in self._windows[service]]
-        counts = window.may_have_run_retries if may_have_run else window.retries
-        counts[-1] += 1
+        counts = self._get_counts(service)
         fixed = self.fixed * _FIXED_SHARE / max(1, self.nodes)
         if may_have_run:
-            is_allowed = self._compute_may_have_run_excess(windows) <= fixed / 2
+            retries = counts.may_have_run_retries
+            is_allowed = self._compute_may_have_run_excess(counts) <= fixed / 2
         else:
-            is_allowed = self._compute_not_run_excess(windows) <= fixed
-        if not is_allowed:
-            counts[-1] -= 1
+            retries = counts.retries
+            is_allowed = self._compute_not_run_excess(counts, rank) <= fixed
+        if is_allowed:
+            retries.add(rank)
         return is_allowed
 
-    def _compute_may_have_run_excess(self, windows: list[_SlidingWindow]) -> float:
-        """Returns the retries beyond the share of the requests of all ranks."""
-        requests = sum(sum(window.requests) for window in windows)
-        retries = sum(sum(window.may_have_run_retries) for window in windows)
+    def _compute_may_have_run_excess(self, counts: _ServiceCounts) -> float:
+        """Returns the retries, with one more, beyond the share of all requests."""
+        requests = counts.requests.compute_totals().total()
+        retries = counts.may_have_run_retries.compute_totals().total() + 1
         return retries - self.ratio * _MAY_HAVE_RUN_SHARE * requests
 
-    def _compute_not_run_excess(self, windows: list[_SlidingWindow]) -> float:
-        """Returns the retries beyond the allowance of each rank."""
-        excess = 0.0
-        for window in windows:
-            allowed = self._get_allowance(window) * sum(window.requests)
-            excess += max(0.0, sum(window.retries) - allowed)
-        return excess
-
-    def _get_allowance(self, window: _SlidingWindow) -> float:
-        if trio.current_time() - window.allowed_at > ALLOWANCE_TTL_SECONDS:
+    def _compute_not_run_excess(self, counts: _ServiceCounts, rank: int) -> float:
+        """Returns the retries, with one more of a rank, beyond each allowance."""
+        requests = counts.requests.compute_totals()
+        retries = counts.retries.compute_totals() + collections.Counter([rank])
+        return sum(
+            max(0.0, count - self._get_allowance(counts, other) * requests[other])
+            for other, count in retries.items()
+        )
+
+    def _get_allowance(self, counts: _ServiceCounts, rank: int) -> float:
+        allowance, allowed_at = counts.allowances.get(rank, _NO_ALLOWANCE)
+        if trio.current_time() - allowed_at > ALLOWANCE_TTL_SECONDS:
             return self.ratio * NOT_RUN_SHARE
-        return window.allowance
-
-    def _get_window(self, service: str, rank: int) -> _SlidingWindow:
-        ranks = self._windows.setdefault(service, {})
-        window = ranks.get(rank)
-        if window is None:
-            window = ranks[rank] = _SlidingWindow()
-        bucket = int(trio.current_time() / self._window_seconds * _BUCKETS)
-        if bucket != window.bucket:
-            window.advance(bucket)
-        return window
+        return allowance
+
+    def _get_counts(self, service: str) -> _ServiceCounts:
+        counts = self._counts.get(service)
+        if counts is None:
+            bucket_seconds = self._window_seconds / _BUCKETS
+            counts = self._counts[service] = _ServiceCounts(
+                *(SlidingCounts(bucket_seconds, _BUCKETS) for _ in range(3))
+            )
+        return counts
 
 
 def create_retry_budget(
