Name times alike in the membership

Comments say timeout, as the identifiers and the other packages do, and constants in seconds end in _SECONDS.

--- a/src/coltsfootspar/membership/budget.py
+++ b/src/coltsfootspar/membership/budget.py
@@ -6,7 +6,7 @@
 __all__ = ["RateBudget"]
 
 # Prevents a busy loop when rounding errors make a wait almost zero.
-_MIN_WAIT_S = 0.001
+_MIN_WAIT_SECONDS = 0.001
 
 
 @attrs.define(eq=False)
@@ -60,7 +60,7 @@
             if self.try_acquire(size, reserve):
                 return
             deficit = size + reserve - self._tokens
-            await trio.sleep(max(_MIN_WAIT_S, deficit / self.rate))
+            await trio.sleep(max(_MIN_WAIT_SECONDS, deficit / self.rate))
 
     def _refill(self) -> None:
         now = trio.current_time()
--- a/src/coltsfootspar/membership/contacts.py
+++ b/src/coltsfootspar/membership/contacts.py
@@ -10,7 +10,7 @@
 
 # Added to an age on each hop. It exceeds the transit time of a datagram within a
 # data centre, so that an age never decreases as members pass it on.
-_HOP_MARGIN_S = 0.2
+_HOP_MARGIN_SECONDS = 0.2
 
 
 @attrs.define(eq=False)
@@ -25,7 +25,7 @@
     _last_ack_times: dict[str, float] = attrs.field(factory=dict)
 
     def add_data_centre(self, data_centre: str, now: float) -> None:
-        """Starts the contact time-out of a data centre that was not known.
+        """Starts the contact timeout of a data centre that was not known.
 
         The start time is not gossiped, because learning of a data centre is no
         evidence that the data centre is reachable.
@@ -41,7 +41,7 @@
     def merge(self, contacts: Iterable[Contact], now: float) -> None:
         """Merges the ages received from another member, keeping the latest times."""
         for contact in contacts:
-            time = now - contact.age - _HOP_MARGIN_S
+            time = now - contact.age - _HOP_MARGIN_SECONDS
             # A data centre without known members is never marked unreachable.
             if contact.data_centre in self._known_since:
                 known = self._last_ack_times.get(contact.data_centre, time)
@@ -55,7 +55,7 @@
         )
 
     def find_unreachable(self, now: float, timeout: float) -> frozenset[str]:
-        """Returns the data centres without an acknowledgement within the time-out.
+        """Returns the data centres without an acknowledgement within the timeout.
 
         :param timeout: seconds.
         """
--- a/src/coltsfootspar/membership/member_list.py
+++ b/src/coltsfootspar/membership/member_list.py
@@ -155,7 +155,7 @@
 
 
 def _compute_status_since(record: MemberRecord, now: float) -> float:
-    # The suspicion time-out starts when the update arrives, so that a late update
+    # The suspicion timeout starts when the update arrives, so that a late update
     # does not shorten the time in which the member can refute it.
     is_suspect = record.status is MemberStatus.SUSPECT
     return now if is_suspect else now - record.status_age
--- a/src/coltsfootspar/membership/probing.py
+++ b/src/coltsfootspar/membership/probing.py
@@ -71,7 +71,7 @@
     async def probe_suspects(self, suspects: list[Member]) -> None:
         """Probes suspects, so that they can refute if earlier updates were lost.
 
-        :param suspects: members whose suspicion time-out is about to expire.
+        :param suspects: members whose suspicion timeout is about to expire.
         """
         count = min(_MAX_CONFIRMING_PROBES, len(suspects))
         for member in self._transport.random.sample(suspects, count):
--- a/src/coltsfootspar/membership/service.py
+++ b/src/coltsfootspar/membership/service.py
@@ -25,7 +25,7 @@
 
 __all__ = ["Membership", "create_membership"]
 
-_TIMEOUT_CHECK_PERIOD_S = 0.5
+_TIMEOUT_CHECK_PERIOD_SECONDS = 0.5
 # Indirect probes in flight on behalf of other members; requests above the limit are
 # ignored.
 _MAX_INDIRECT_PROBES = 64
@@ -193,7 +193,7 @@
             self._nursery.start_soon(self._gossiper.broadcast_own_record)
 
     async def _run_timeout_checks(self) -> None:
-        async for _ in self._timers.subscribe(_TIMEOUT_CHECK_PERIOD_S):
+        async for _ in self._timers.subscribe(_TIMEOUT_CHECK_PERIOD_SECONDS):
             report = self._view.check_timeouts()
             await self._prober.probe_suspects(report.expiring)
             if report.expired:
--- a/src/coltsfootspar/membership/settings.py
+++ b/src/coltsfootspar/membership/settings.py
@@ -1,4 +1,4 @@
-"""Periods, time-outs and limits of the membership protocol."""
+"""Periods, timeouts and limits of the membership protocol."""
 
 import attrs
 
@@ -7,7 +7,7 @@
 
 @attrs.frozen
 class MembershipLimits:
-    """Periods and time-outs in seconds, sizes in bytes.
+    """Periods and timeouts in seconds, sizes in bytes.
 
     :param probe_period: interval between probes of members of the same data
         centre.
--- a/src/coltsfootspar/membership/tests/test_failures.py
+++ b/src/coltsfootspar/membership/tests/test_failures.py
@@ -111,7 +111,7 @@
 
 
 # With seed 2019, members of the rack used to declare others dead: the suspicion
-# time-out expired before most members of the other side were suspected.
+# timeout expired before most members of the other side were suspected.
 @pytest.mark.parametrize("seed", [18, 2019])
 async def test_partitioned_rack_is_detected_and_rejoins(
     open_cluster, autojump_clock, seed
--- a/src/coltsfootspar/membership/view.py
+++ b/src/coltsfootspar/membership/view.py
@@ -24,13 +24,13 @@
 
 @attrs.frozen
 class SuspicionReport:
-    """Suspected members of the local data centre whose time-out is running out.
+    """Suspected members of the local data centre whose timeout is running out.
 
     When a data centre is partitioned, the minority, for example one rack, marks
     the other members unreachable without declaring them dead. They then have no
     death to refute once the partition heals.
 
-    :param expiring: suspects for which more than half of the time-out has passed.
+    :param expiring: suspects for which more than half of the timeout has passed.
     :param expired: suspects that did not refute the suspicion in time.
     :param is_majority_partition: False while this node is isolated or suspects at
         least half of its data centre.
@@ -130,7 +130,7 @@
 
     @property
     def is_isolated(self) -> bool:
-        """Returns whether no probe was acknowledged within the isolation time-out."""
+        """Returns whether no probe was acknowledged within the isolation timeout."""
         return trio.current_time() - self.last_ack_at > self.limits.isolation_timeout
 
     @property
@@ -172,12 +172,12 @@
         self._apply_change(attrs.evolve(known, status=status, status_since=now))
 
     def check_timeouts(self) -> SuspicionReport:
-        """Checks the time-outs of suspects, data centres and tombstones.
+        """Checks the timeouts of suspects, data centres and tombstones.
 
         Data centres without contact are marked unreachable and old tombstones
         are removed.
 
-        :returns: the suspects whose time-out is running out or has expired.
+        :returns: the suspects whose timeout is running out or has expired.
         """
         now = trio.current_time()
         report = self._check_suspicions(now)
--- a/src/coltsfootspar/timers/clock.py
+++ b/src/coltsfootspar/timers/clock.py
@@ -18,7 +18,7 @@
     """Clock whose time stands still while the tasks of one turn run.
 
     A call through a node asks for the time some fifteen times; reading it once a
-    turn saves most of that. A time-out that a task starts late in a long turn ends
+    turn saves most of that. A timeout that a task starts late in a long turn ends
     early by the length of the turn, some milliseconds.
 
     :param _offset: added to the monotonic time, seconds.
