Test that other hops lend no answer to another call

Not found here, and both tests pass on the code as it was: headers by which nodes tell each other the outcome are removed from a backend server's response, so that it cannot say "not run" in a node's name; a call that is cancelled ends its connection between nodes and to the server, so that a late reply reaches no other call, even if no ids are echoed.

--- a/src/coltsfootspar/relay/tests/test_reused_connections.py
+++ b/src/coltsfootspar/relay/tests/test_reused_connections.py
@@ -233,6 +233,61 @@
         assert (await send_and_read(entry, data)).endswith(b"for /views/%d" % index)
 
 
+def create_late_script(answer: bytes):
+    """Creates the script of a server that sends the same response to all requests."""
+
+    async def respond(stream, head):
+        echo = b"%s: %s\r\n" % (NAMES.request_id, find_request_id(head))
+        await stream.send_all(answer.replace(b"ECHO\r\n", echo))
+
+    return respond
+
+
+async def test_internal_headers_of_a_server_are_not_believed(harness):
+    """Guards against a server whose response tells other nodes that it has not run."""
+    answer = (
+        b"HTTP/1.1 500 No\r\nECHO\r\nColtsfootspar-Outcome: not-run\r\n"
+        b"Coltsfootspar-Error: leaving\r\nContent-Length: 2\r\n\r\nno"
+    )
+    servers = [await harness.add_server(create_late_script(answer)) for _ in range(2)]
+    for index, server in enumerate(servers):
+        await harness.add_node(f"n{index}", server.address)
+    use_once_route(harness)
+    _, _, entry = await harness.add_entry_node()
+    response = await send_and_read(entry, encode_post_with_id("r1"))
+    assert response.startswith(b"HTTP/1.1 500")
+    assert sum(len(server.heads) for server in servers) == 1
+
+
+async def test_reply_to_a_cancelled_call_reaches_no_other_call(harness):
+    """Guards against a late reply of another node on a connection that is used again.
+
+    Callers leave while their calls run. The server echoes no ids, so that only the
+    connections tell the replies apart.
+    """
+
+    async def answer(stream, head):
+        request_id = find_request_id(head)
+        await trio.sleep(0.3 if request_id.startswith(b"left") else 0)
+        own = encode_answer(b"", b"for " + request_id)
+        with contextlib.suppress(trio.BrokenResourceError):
+            await stream.send_all(own.replace(NAMES.request_id, b"X-None"))
+
+    server = await harness.add_server(answer)
+    await harness.add_node("n1", server.address)
+    use_once_route(harness)
+    _, _, entry = await harness.add_entry_node()
+    for index in range(3):
+        async with await trio.open_tcp_stream(entry.host, entry.port) as stream:
+            await stream.send_all(encode_post_with_id(f"left{index}"))
+            await trio.sleep(0.02)
+        for pause in (0.0, 0.25):
+            await trio.sleep(pause)
+            request_id = f"own{index}-{pause}"
+            response = await send_and_read(entry, encode_post_with_id(request_id))
+            assert response.endswith(f"for {request_id}".encode())
+
+
 MESSAGES = {
     RequestReader: (
         b"POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabc"
