Read no trailer as a header

What callers saw: 503, "not run", for a 200 in chunks whose trailer had the mark of a refusal.

Cause: the parser reports trailers as it does headers, and they were added to the headers of the message and replaced equal ones: the mark, the id, and in requests what is passed on.

Evidence: the new test failed before with a 503 for a request that ran.

Why this works: what comes after the head is a trailer and is dropped; RFC 9110 lets a proxy do so.

--- a/src/coltsfootspar/relay/messages.py
+++ b/src/coltsfootspar/relay/messages.py
@@ -136,6 +136,9 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         current = self._current
+        if current.has_head:
+            # A trailer, which must not replace a header.
+            return
         current.headers.append((name, value))
         key = name.lower()
         if key == b"host" and key in current.header_values:
--- a/src/coltsfootspar/relay/tests/test_reused_connections.py
+++ b/src/coltsfootspar/relay/tests/test_reused_connections.py
@@ -243,6 +243,28 @@
     return respond
 
 
+async def test_trailer_is_not_read_as_a_header(harness):
+    """Guards against a trailer that changes what a response or a request says."""
+    answer = (
+        b"HTTP/1.1 200 OK\r\nECHO\r\nTransfer-Encoding: chunked\r\n\r\n"
+        b"2\r\nok\r\n0\r\n%s: 1\r\n%s: r0\r\nX-Seal: 1\r\n\r\n"
+        % (NAMES.not_run, NAMES.request_id)
+    )
+    server = await harness.add_server(create_late_script(answer))
+    await harness.add_node("n1", server.address)
+    use_once_route(harness)
+    _, _, entry = await harness.add_entry_node()
+    request = encode_post_with_id("r1").partition(b"\r\n\r\n")[0]
+    request = request.replace(b"Content-Length: 3", b"Transfer-Encoding: chunked")
+    trailers = b"%s: r2\r\nX-Own: 1\r\n" % NAMES.request_id
+    request += b"\r\n\r\n3\r\npay\r\n0\r\n%s\r\n" % trailers
+    response = await send_and_read(entry, request)
+    assert response.startswith(b"HTTP/1.1 200")
+    assert b"X-Seal" not in response
+    assert find_request_id(server.heads[0]) == b"r1"
+    assert b"X-Own" not in server.heads[0]
+
+
 async def test_internal_headers_of_a_server_are_not_believed(harness):
     """Guards against a server whose response tells other nodes that it has not run."""
     answer = (
