Take no success for a refusal

What callers saw: a 200 with the mark of a refusal led to 503, and the request was sent to a second server.

Cause: the mark was believed with any status.

Evidence: the new test failed before with a 503.

Why this works: only an error response says that a request did not run; a success is passed on as what it is.

--- a/src/coltsfootspar/relay/backend.py
+++ b/src/coltsfootspar/relay/backend.py
@@ -23,7 +23,11 @@
     create_reply,
     do_nothing,
 )
-from coltsfootspar.relay.client import MAX_IDLE_SECONDS, ConnectionPool
+from coltsfootspar.relay.client import (
+    MAX_IDLE_SECONDS,
+    ClientConnection,
+    ConnectionPool,
+)
 from coltsfootspar.relay.crash_guard import CrashGuard, create_crash_guard
 from coltsfootspar.relay.limiter import ConcurrencyLimiter, create_concurrency_limiter
 from coltsfootspar.relay.messages import Headers, Response
@@ -44,6 +48,7 @@
 _MISDIRECTED_REQUEST = 421
 # Codes of transfers that end when the process of the backend server does.
 _ENDED_CODES = frozenset({"closed", "reset", "unreachable"})
+_FIRST_ERROR = 400
 _FIRST_SERVER_ERROR = 500
 
 
@@ -279,10 +284,7 @@
             return self._create_failure(outgoing, error)
         is_not_run = self._is_marked_not_run(response)
         if not response.is_certain and (is_not_run or connection.echoes_ids):
-            connection.close()
-            text = "the response does not echo the id of the request"
-            error = TransferError(text, may_have_run=True, code="unidentified-response")
-            return self._create_failure(outgoing, error)
+            return self._reject(outgoing, connection, "unidentified-response")
         if not is_not_run:
             self.guard.record_answer(outgoing)
         allowance = self._record_rejection(call) if is_not_run else None
@@ -305,13 +307,25 @@
             retry_allowance=allowance,
         )
 
+    def _reject(
+        self, outgoing: OutgoingCall, connection: ClientConnection, code: str
+    ) -> Reply:
+        """Creates the reply for a response that must not be passed on."""
+        connection.close()
+        text = "the response is not passed on"
+        error = TransferError(text, may_have_run=True, code=code)
+        return self._create_failure(outgoing, error)
+
     def _record_rejection(self, call: Call) -> float:
         """Records a rejected call and returns the retries allowed for its rank."""
         self.allocator.record_rejection(call.rank)
         return self.allocator.compute_allowance(call.rank)
 
     def _is_marked_not_run(self, response: Response) -> bool:
-        is_marked = response.find(self._names.not_run.lower()) is not None
+        is_marked = (
+            response.status >= _FIRST_ERROR
+            and response.find(self._names.not_run.lower()) is not None
+        )
         return is_marked or response.status == _MISDIRECTED_REQUEST
 
     def _create_failure(self, outgoing: OutgoingCall, error: TransferError) -> Reply:
--- a/src/coltsfootspar/relay/tests/test_reused_connections.py
+++ b/src/coltsfootspar/relay/tests/test_reused_connections.py
@@ -243,6 +243,22 @@
     return respond
 
 
+async def test_success_with_the_mark_is_not_sent_again(harness):
+    """Guards against a success that is taken for a refusal, so that it runs twice."""
+    answer = (
+        b"HTTP/1.1 200 OK\r\nECHO\r\n%s: 1\r\nContent-Length: 2\r\n\r\nok"
+        % NAMES.not_run
+    )
+    servers = [await harness.add_server(create_late_script(answer)) for _ in range(2)]
+    for index, server in enumerate(servers):
+        await harness.add_node(f"n{index}", server.address)
+    use_once_route(harness)
+    _, _, entry = await harness.add_entry_node()
+    response = await send_and_read(entry, encode_post_with_id("r1"))
+    assert response.startswith(b"HTTP/1.1 200")
+    assert sum(len(server.heads) for server in servers) == 1
+
+
 async def test_trailer_is_not_read_as_a_header(harness):
     """Guards against a trailer that changes what a response or a request says."""
     answer = (
