Pass on no refusal that a server has not marked

What callers saw: 408, 429 or 503 of a server, passed on unchanged though it did not say that the request has not run. To callers these statuses promise that, and they try again.

Why this works: for a request that must run once, such a response without the mark becomes 502, which promises nothing. Idempotent requests get it as it is.

--- a/src/coltsfootspar/relay/backend.py
+++ b/src/coltsfootspar/relay/backend.py
@@ -48,6 +48,8 @@
 _MISDIRECTED_REQUEST = 421
 # Codes of transfers that end when the process of the backend server does.
 _ENDED_CODES = frozenset({"closed", "reset", "unreachable"})
+# To callers these statuses promise that the request has not run.
+_REFUSAL_STATUSES = frozenset({408, 421, 429, 503})
 _FIRST_ERROR = 400
 _FIRST_SERVER_ERROR = 500
 
@@ -287,6 +289,9 @@
             return self._reject(outgoing, connection, "unidentified-response")
         if not is_not_run:
             self.guard.record_answer(outgoing)
+        is_promise = response.status in _REFUSAL_STATUSES
+        if is_promise and not (is_not_run or call.is_idempotent):
+            return self._reject(outgoing, connection, "unmarked-refusal")
         allowance = self._record_rejection(call) if is_not_run else None
         is_served = not is_not_run and response.status < _FIRST_SERVER_ERROR
         seconds = trio.current_time() - start if is_served else None
--- a/src/coltsfootspar/relay/tests/test_reused_connections.py
+++ b/src/coltsfootspar/relay/tests/test_reused_connections.py
@@ -243,6 +243,21 @@
     return respond
 
 
+@pytest.mark.parametrize("status", [408, 429, 503])
+async def test_unmarked_refusal_promises_nothing(harness, status):
+    """Guards against a refusal passed on for a request that may have run.
+
+    To callers these statuses mean that the request has not run.
+    """
+    answer = b"HTTP/1.1 %d No\r\nECHO\r\nContent-Length: 2\r\n\r\nno" % status
+    server = await harness.add_server(create_late_script(answer))
+    await harness.add_node("n1", server.address)
+    use_once_route(harness)
+    _, _, entry = await harness.add_entry_node()
+    response = await send_and_read(entry, encode_post_with_id("r1"))
+    assert response.startswith(b"HTTP/1.1 502")
+
+
 async def test_success_with_the_mark_is_not_sent_again(harness):
     """Guards against a success that is taken for a refusal, so that it runs twice."""
     answer = (
