End the connection of a response that was cancelled

What callers saw: on a connection with a second request waiting, the rest of a response that broke off was taken from the next one.

Cause: a response with a short or buffered body that was cancelled while a slow reader held it up left its connection usable; only streamed ones ended it. A cancellation comes when a node stops, or when a deadline passes at the moment at which the response begins.

Evidence: the new test failed before: two status lines arrived after the first response, of 8 MB, was cancelled.

Why this works: the connection counts as broken until the response has been sent in full, as it does for streamed ones.

--- a/src/coltsfootspar/relay/connections.py
+++ b/src/coltsfootspar/relay/connections.py
@@ -112,7 +112,10 @@
         if not self._keeps_connection():
             headers = headers + _CLOSE_HEADERS
         data = encode_response(status, headers, body, reason)
-        await send_all(self._connection.sock, data)
+        connection = self._connection
+        was_broken, connection.is_broken = connection.is_broken, True
+        await send_all(connection.sock, data)
+        connection.is_broken = was_broken
 
     async def stream_response(
         self,
--- a/src/coltsfootspar/relay/tests/test_cut_heads.py
+++ b/src/coltsfootspar/relay/tests/test_cut_heads.py
@@ -1,5 +1,6 @@
 """Tests of responses that break off at any byte, over each hop of a request."""
 
+import contextlib
 import socket
 import struct
 
@@ -8,12 +9,20 @@
 import trio
 
 from coltsfootspar.exceptions import MalformedRequestError
-from coltsfootspar.relay import create_backend_server
+from coltsfootspar.relay import create_backend_server, create_relay_server
 from coltsfootspar.relay.calls import OUTCOME_HEADER
 from coltsfootspar.relay.messages import ResponseReader
 from coltsfootspar.routes import Repetition, RouteTable, Service
-
-from .conftest import NAMES, create_report, create_route, send_and_read
+from coltsfootspar.wire import Address
+
+from .conftest import (
+    HOST,
+    NAMES,
+    create_report,
+    create_route,
+    find_free_port,
+    send_and_read,
+)
 
 ECHO = NAMES.request_id + b": r1\r\n"
 NOT_RUN = NAMES.not_run + b": 1\r\n"
@@ -243,3 +252,26 @@
     if ends == "close":
         assert found is not None
         assert found[0] == 200
+
+
+async def test_cancelled_response_is_not_followed_by_another(harness):
+    """Guards against a response whose rest is taken from the next one.
+
+    The node stops while a caller that has sent two requests reads slowly.
+    """
+
+    async def answer(exchange):
+        await exchange.answer(200, [], b"x" * 8_000_000)
+
+    server = create_relay_server(answer)
+    address = Address(HOST, find_free_port())
+    await harness.nursery.start(server.serve, address)
+    async with await trio.open_tcp_stream(address.host, address.port) as stream:
+        await stream.send_all(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n" * 2)
+        received = await stream.receive_some()
+        await server.expire_in_flight()
+        with trio.fail_after(20), contextlib.suppress(trio.BrokenResourceError):
+            while chunk := await stream.receive_some():
+                received += chunk
+    assert received.count(b"HTTP/1.1") == 1
+    assert read_complete(received, is_head=False) is None
