Close connections of the h11 client that hold unread bytes

What callers saw: the answer to an earlier request of the same connection.

Cause: bytes after a response that were read together with it stayed in the parser. The check of the socket before the next request saw none of them, and they were taken for its response.

Evidence: the three cases of the new test (a whole second response, its first byte, its first 30 bytes) failed before: the second request got the first body.

Why this works: a connection whose parser holds bytes after a response is closed and not kept.

--- a/src/coltsfootspar/web/client.py
+++ b/src/coltsfootspar/web/client.py
@@ -157,6 +157,9 @@
         http = connection.http
         if http.our_state is not h11.DONE or http.their_state is not h11.DONE:
             return False
+        extra, _ = http.trailing_data
+        if extra:
+            return False
         http.start_next_cycle()
         connection.idle_since = trio.current_time()
         self._idle.setdefault(address, []).append(connection)
--- a/src/coltsfootspar/web/tests/test_web.py
+++ b/src/coltsfootspar/web/tests/test_web.py
@@ -212,3 +212,33 @@
             assert (await client.send(address, request)).status == 200
             await trio.sleep(0.02)
     assert len(connections) == 3
+
+
+@pytest.mark.parametrize("size", [1, 30, None])
+async def test_bytes_after_a_response_answer_no_other_request(size):
+    """Guards against a second response, or its first bytes, read with the first one."""
+    first = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst"
+    own = b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nown"
+
+    async def serve(stream):
+        async with stream:
+            await stream.receive_some()
+            await stream.send_all(first + first[:size])
+            await stream.receive_some()
+            await stream.send_all(first[size:] if size else b"")
+
+    async def serve_own(stream):
+        async with stream:
+            await stream.receive_some()
+            await stream.send_all(own)
+
+    servers = [serve, serve_own]
+
+    async def serve_next(stream):
+        await servers.pop(0)(stream)
+
+    client = create_h11_client()
+    request = HttpRequest("GET", "/", ((b"host", b"a"),))
+    async with open_raw_server(serve_next) as address:
+        assert (await client.send(address, request)).body == b"first"
+        assert (await client.send(address, request)).body == b"own"
