Decide on a block without waiting for slow nodes

- One silent node delayed a block by 2 to 4 s: it was decided and sent once all had replied or three attempts had failed.
It is now decided after 0.15 s, at once for a request that was blocked before; replies that come later may still clear it.
- An error of the operating system in a notice left the notifier and would have ended the node.
No descriptor left is now a transfer error, and a fault in a notice is logged.
- A notice that was sent again counted as another crash, so one crash could block all that ran beside it.
Notices carry an id.
- A request that was cancelled while it probed the port lost the crash for all.
The probe is shielded, and keeps digests in place of requests with their bodies.
- A reply without an answer replaced an earlier answer; a record was dropped at the end of a long block, before its one copy; adopted blocks passed the bound.
- A half sent body on the inbound side held a stop until the end of the grace period.

The first block is now 4 s, which covers the time in which a crashed server is down; nodes that adopt it wait 1.5 to 2.5 times as long, so that one copy goes through on the first node before them.

--- a/src/coltsfootspar/fleet/node.py
+++ b/src/coltsfootspar/fleet/node.py
@@ -202,6 +202,7 @@
             self.forwarder.ends_at = ends_at
             self.outbound.close_idle()
             # Inbound first: calls in flight make outbound calls until they complete.
+            self.inbound.cancel_incomplete()
             await self.inbound.finish_requests()
             self.forwarder.ends_at = -math.inf
             self.outbound.cancel_incomplete()
@@ -323,7 +324,11 @@
     forwarder.counters.observe_seconds = fleet_metrics.observe_seconds
     receiver = CallReceiver(backend, adapter.names)
     notifier = create_crash_notifier(
-        settings.id, backend.guard, directory, lambda: backend.service, source
+        settings.id,
+        backend.guard,
+        directory,
+        lambda: backend.report.service if backend.report is not None else "",
+        source,
     )
     control = create_control_handler(
         adapter, NodeControl(backend, settings.service).serve
--- a/src/coltsfootspar/relay/crash_detection.py
+++ b/src/coltsfootspar/relay/crash_detection.py
@@ -29,7 +29,7 @@
 
     _on_crash: Callable[[Sequence[int], float], None]
     crashes: int = 0
-    _broken: list[tuple[float, OutgoingCall]] = attrs.field(factory=list)
+    _broken: list[tuple[float, int]] = attrs.field(factory=list)
     _crashed_at: float = -float("inf")
     _is_probing: bool = False
 
@@ -49,19 +49,20 @@
             self._on_crash([outgoing.compute_digest()], self._crashed_at)
             return
         self._broken = [
-            (broken_at, other)
-            for broken_at, other in self._broken
+            (broken_at, digest)
+            for broken_at, digest in self._broken
             if now - broken_at < BREAK_WINDOW_SECONDS
         ]
-        self._broken.append((now, outgoing))
+        self._broken.append((now, outgoing.compute_digest()))
         if self._is_probing:
             return
         self._is_probing = True
-        try:
-            if await is_refusing(address, _PROBE_TIMEOUT_SECONDS):
-                self._report()
-        finally:
-            self._is_probing = False
+        # The other broken requests rely on this probe, even if its own is cancelled.
+        with trio.CancelScope(shield=True):
+            is_crashed = await is_refusing(address, _PROBE_TIMEOUT_SECONDS)
+        self._is_probing = False
+        if is_crashed:
+            self._report()
 
     def confirm(self) -> None:
         """Reports the requests that broke lately: another process has started."""
@@ -73,7 +74,7 @@
         self.crashes += 1
         self._crashed_at = trio.current_time()
         broken, self._broken = self._broken, []
-        digests = [outgoing.compute_digest() for _, outgoing in broken]
+        digests = [digest for _, digest in broken]
         log_decision(
             "backend-crashed",
             crashes=self.crashes,
--- a/src/coltsfootspar/relay/crash_notices.py
+++ b/src/coltsfootspar/relay/crash_notices.py
@@ -1,11 +1,13 @@
 """Notices of crashes between the nodes of a service."""
 
+import collections
 import random
 from collections.abc import Callable, Sequence
 from typing import Protocol
 
 import attrs
 import trio
+from absl import logging
 
 from coltsfootspar.exceptions import FrameError, TransferError
 from coltsfootspar.logs import log_decision
@@ -39,6 +41,11 @@
 _REPEAT_FANOUT = 2
 _MAX_NOTICE_BYTES = 262_144
 _MAX_ENTRIES = 1024
+# How long a node waits for what others know before it blocks requests.
+DECISION_SECONDS = 0.15
+# Latest notices whose copies are recognised.
+_MAX_KNOWN_NOTICES = 4096
+_ID_BITS = 64
 
 
 class PeerDirectory(Protocol):
@@ -65,6 +72,9 @@
     _directory: PeerDirectory
     _find_service: Callable[[], str]
     _random: random.Random
+    _known_ids: collections.deque = attrs.field(
+        factory=lambda: collections.deque(maxlen=_MAX_KNOWN_NOTICES)
+    )
 
     async def run(self, timers: TimerService) -> None:
         """Sends notices until cancelled."""
@@ -77,11 +87,17 @@
                 guard.has_news = trio.Event()
                 crashed, guard.crashed = guard.crashed, []
                 cleared, guard.cleared = guard.cleared, []
-                nursery.start_soon(self._publish, crashed, cleared)
+                nursery.start_soon(self._publish_answers, cleared)
+                nursery.start_soon(self._publish_crash, crashed)
 
     async def handle(self, exchange: Exchange) -> None:
         """Applies a notice of another node and responds with what is known here."""
+        exchange.set_deadline(
+            exchange.request.arrived_at + _SEND_TIMEOUT_SECONDS,
+            lambda: exchange.answer(408, [], b""),
+        )
         await exchange.buffer_body(_MAX_NOTICE_BYTES)
+        exchange.clear_deadline()
         try:
             notice = decode_crash_notice(exchange.request.take_body())
         except FrameError as error:
@@ -94,7 +110,10 @@
     def _apply(self, notice: CrashNotice) -> CrashNotice:
         records = self._guard.records
         now = trio.current_time()
-        for entry in notice.entries:
+        # A crash in a copy that was sent again must not count twice.
+        is_known = notice.id in self._known_ids
+        self._known_ids.append(notice.id)
+        for entry in () if is_known else notice.entries:
             if notice.kind is CrashNoticeKind.CRASHED:
                 records.count_crash(entry.digest, now - entry.last_age)
             elif notice.kind is CrashNoticeKind.BLOCKED:
@@ -110,24 +129,36 @@
     ) -> CrashNotice:
         entries = (self._guard.records.describe(digest) for digest in digests)
         known = tuple(entry for entry in entries if entry is not None)
-        return CrashNotice(kind, known[:_MAX_ENTRIES])
+        notice_id = self._random.getrandbits(_ID_BITS)
+        return CrashNotice(kind, known[:_MAX_ENTRIES], notice_id)
 
-    async def _publish(self, crashed: list[int], cleared: list[int]) -> None:
-        peers = self._list_peers()
+    async def _publish_answers(self, cleared: list[int]) -> None:
         if cleared:
             notice = self._create_notice(CrashNoticeKind.ANSWERED, cleared)
-            await self._send_to_peers(peers, notice)
+            await self._send_to_peers(self._list_peers(), notice)
+
+    async def _publish_crash(self, crashed: list[int]) -> None:
+        """Tells other nodes of a crash and blocks what has crashed enough servers.
+
+        What other nodes know decides, unless one of them is slow to reply.
+        """
         if not crashed:
             return
-        # What other nodes know decides whether a request is to blame.
-        await self._send_to_peers(
-            peers, self._create_notice(CrashNoticeKind.CRASHED, crashed)
-        )
-        blocked = self._guard.records.block_suspects(crashed)
+        records = self._guard.records
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._publish_blocks, records.block_known(crashed))
+            notice = self._create_notice(CrashNoticeKind.CRASHED, crashed)
+            replied = trio.Event()
+            nursery.start_soon(self._send_to_peers, self._list_peers(), notice, replied)
+            with trio.move_on_after(DECISION_SECONDS):
+                await replied.wait()
+            nursery.start_soon(self._publish_blocks, records.block_suspects(crashed))
+
+    async def _publish_blocks(self, blocked: list[int]) -> None:
         if blocked:
             notice = self._create_notice(CrashNoticeKind.BLOCKED, blocked)
             self._log_blocks(notice.entries)
-            await self._send_to_peers(peers, notice)
+            await self._send_to_peers(self._list_peers(), notice)
 
     async def _run_repeats(self, timers: TimerService) -> None:
         async for now in timers.subscribe(REPEAT_PERIOD_SECONDS):
@@ -139,21 +170,39 @@
             peers = self._list_peers()
             if blocked and peers:
                 chosen = self._random.sample(peers, min(_REPEAT_FANOUT, len(peers)))
-                notice = CrashNotice(CrashNoticeKind.BLOCKED, blocked)
+                notice_id = self._random.getrandbits(_ID_BITS)
+                notice = CrashNotice(CrashNoticeKind.BLOCKED, blocked, notice_id)
                 await self._send_to_peers(chosen, notice)
 
     def _list_peers(self) -> list[str]:
         candidates = self._directory.list_candidates(self._find_service())
         return [c.node_id for c in candidates if c.node_id != self._node_id]
 
-    async def _send_to_peers(self, peers: Sequence[str], notice: CrashNotice) -> None:
-        """Sends a notice to nodes and takes in what they know."""
+    async def _send_to_peers(
+        self,
+        peers: Sequence[str],
+        notice: CrashNotice,
+        replied: trio.Event | None = None,
+    ) -> None:
+        """Sends a notice to nodes and takes in what they know.
+
+        :param replied: set once all have replied or could not be reached.
+        """
         data = encode_crash_notice(notice)
         async with trio.open_nursery() as nursery:
             for node_id in peers:
                 nursery.start_soon(self._send, node_id, data)
+        if replied is not None:
+            replied.set()
 
     async def _send(self, node_id: str, data: bytes) -> None:
+        try:
+            await self._send_with_retries(node_id, data)
+        except Exception:
+            # A fault in a notice must not end the node.
+            logging.exception("Crash notice not sent to %s", node_id)
+
+    async def _send_with_retries(self, node_id: str, data: bytes) -> None:
         request = OutgoingRequest(encode_request(b"POST", _TARGET, [], data))
         for _ in range(_SEND_ATTEMPTS):
             address = self._directory.find_address(node_id)
@@ -169,10 +218,16 @@
                 log_decision("crash-notice-lost", node=node_id, error=repr(error))
                 await trio.sleep(_RETRY_DELAY_SECONDS)
                 continue
-            for entry in reply.entries:
-                self._guard.records.merge_reply(entry)
+            self._merge(reply)
             return
 
+    def _merge(self, reply: CrashNotice) -> None:
+        guard = self._guard
+        for entry in reply.entries:
+            if guard.records.merge_reply(entry):
+                guard.cleared.append(entry.digest)
+                guard.has_news.set()
+
     async def _exchange(self, address: Address, request: OutgoingRequest):
         pool = ConnectionPool(address)
         connection, response = await pool.exchange(request, _MAX_NOTICE_BYTES)
--- a/src/coltsfootspar/relay/crashes.py
+++ b/src/coltsfootspar/relay/crashes.py
@@ -19,10 +19,14 @@
 CRASHES_UNTIL_BLOCKED = 3
 # Crashes within this time have a common cause, for example a loss of power.
 COMMON_CAUSE_SECONDS = 0.03
-BLOCK_SECONDS = 10.0
+# Covers the time in which a server that has crashed starts again.
+BLOCK_SECONDS = 4.0
 # Each further block lasts this many times longer.
 BLOCK_GROWTH = 10
 MAX_BLOCK_SECONDS = 3600.0
+MAX_LEVEL = 8
+# How many times longer a block lasts on the nodes that adopt it: least and most.
+ADOPTED_BLOCK_FACTORS = (1.5, 2.5)
 # Time for which one copy may run after a block, before another one is let through.
 TRIAL_SECONDS = 5.0
 # Records without a block are dropped this long after the latest crash.
@@ -51,8 +55,8 @@
     @property
     def expires_at(self) -> float:
         """Time from which the record is of no use."""
-        latest = max(self.last_crash_at, self.answered_at)
-        return max(latest + RECORD_TTL_SECONDS, self.blocked_until)
+        latest = max(self.last_crash_at, self.answered_at, self.blocked_until)
+        return latest + RECORD_TTL_SECONDS
 
 
 @attrs.define(eq=False)
@@ -76,7 +80,7 @@
 
         :param crashed_at: trio clock, seconds.
         """
-        record = self._records.setdefault(digest, _Record())
+        record = self._get_or_add(digest)
         if record.answered_at > crashed_at:
             return
         is_separate = abs(crashed_at - record.last_crash_at) > COMMON_CAUSE_SECONDS
@@ -85,8 +89,6 @@
             record.first_crash_at = crashed_at
         if is_separate:
             record.crashes += 1
-        if len(self._records) > MAX_RECORDS:
-            self._drop_least_suspected()
 
     def record_answer(self, digest: int) -> bool:
         """Clears a request that a server has answered.
@@ -117,6 +119,15 @@
             record.blocked_until = trio.current_time() + TRIAL_SECONDS
             record.is_on_trial = True
 
+    def block_known(self, digests: list[int]) -> list[int]:
+        """Blocks those of the requests that have been blocked before.
+
+        :returns: digests that are newly blocked.
+        """
+        return self.block_suspects(
+            [digest for digest in digests if self._get_level(digest)]
+        )
+
     def block_suspects(self, digests: list[int]) -> list[int]:
         """Blocks those of the requests that have crashed enough servers.
 
@@ -131,7 +142,7 @@
             if record.blocked_until > now and not record.is_on_trial:
                 continue
             seconds = BLOCK_SECONDS * BLOCK_GROWTH**record.level
-            record.level += 1
+            record.level = min(MAX_LEVEL, record.level + 1)
             record.is_on_trial = False
             record.blocked_until = now + min(MAX_BLOCK_SECONDS, seconds)
             blocked.append(digest)
@@ -140,37 +151,40 @@
     def adopt_block(self, entry: CrashEntry) -> None:
         """Adopts a block of another node unless a server here has answered since.
 
-        It lasts up to twice as long here, so that the nodes let copies through at
-        different times.
+        It lasts longer here, so that one copy goes through on the other node first.
         """
         now = trio.current_time()
-        record = self._records.setdefault(entry.digest, _Record())
+        record = self._get_or_add(entry.digest)
         if record.answered_at >= now - entry.first_age or record.level >= entry.level:
             return
         record.crashes = max(record.crashes, entry.crashes)
         record.first_crash_at = now - entry.first_age
         record.last_crash_at = max(record.last_crash_at, now - entry.last_age)
         record.level, record.is_on_trial = entry.level, False
-        seconds = entry.blocked_for * (1 + self._random.random())
-        record.blocked_until = now + seconds
+        factor = self._random.uniform(*ADOPTED_BLOCK_FACTORS)
+        record.blocked_until = now + entry.blocked_for * factor
 
-    def merge_reply(self, entry: CrashEntry) -> None:
+    def merge_reply(self, entry: CrashEntry) -> bool:
         """Takes in what another node knows of a request that has just crashed a server.
 
         An answer after the first crash clears it; otherwise the higher count holds.
+
+        :returns: true when it had been blocked and is cleared, so that other nodes
+            must be told.
         """
         record = self._records.get(entry.digest)
-        if record is None:
-            return
+        if record is None or not record.crashes:
+            return False
         now = trio.current_time()
         answered_at = now - entry.answered_age
         if answered_at >= record.first_crash_at:
             self._records[entry.digest] = _Record(answered_at=answered_at)
-            return
+            return record.level > 0
         record.crashes = max(record.crashes, entry.crashes)
         record.level = max(record.level, entry.level)
         if entry.crashes:
             record.first_crash_at = min(record.first_crash_at, now - entry.first_age)
+        return False
 
     def describe(self, digest: int) -> CrashEntry | None:
         """Returns the entry of a request for other nodes; None when it is unknown."""
@@ -201,6 +215,18 @@
         for digest in [d for d, r in self._records.items() if r.expires_at < now]:
             del self._records[digest]
 
+    def _get_level(self, digest: int) -> int:
+        record = self._records.get(digest)
+        return record.level if record is not None else 0
+
+    def _get_or_add(self, digest: int) -> _Record:
+        record = self._records.get(digest)
+        if record is None:
+            if len(self._records) >= MAX_RECORDS:
+                self._drop_least_suspected()
+            record = self._records[digest] = _Record()
+        return record
+
     def _drop_least_suspected(self) -> None:
         ranked = sorted(
             self._records,
--- a/src/coltsfootspar/relay/sockets.py
+++ b/src/coltsfootspar/relay/sockets.py
@@ -10,6 +10,7 @@
 from collections.abc import Iterable
 
 import trio
+from absl import logging
 
 from coltsfootspar.exceptions import TransferError
 from coltsfootspar.wire import Address
@@ -66,9 +67,15 @@
     """Opens a connection.
 
     :param timeout: seconds.
-    :raises TransferError: when the connection is refused or times out.
+    :raises TransferError: when the connection is refused or times out, or the process
+        has no descriptor left.
     """
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    except OSError as error:
+        raise TransferError(
+            str(error), may_have_run=False, code="unreachable"
+        ) from error
     try:
         _set_options(sock)
         set_user_timeout(sock, allows_slow_reader=False)
@@ -175,7 +182,12 @@
 
     :param timeout: seconds; a host that does not respond in time is not refusing.
     """
-    with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as sock:
+    try:
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    except OSError as error:
+        logging.warning("Host not probed: %s", error)
+        return False
+    with sock:
         sock.setblocking(False)
         code = sock.connect_ex((address.host, address.port))
         if code == errno.EINPROGRESS:
--- a/src/coltsfootspar/wire/crashes.capnp
+++ b/src/coltsfootspar/wire/crashes.capnp
@@ -13,4 +13,5 @@
 struct Notice {
   kind @0 :UInt8;
   entries @1 :List(Entry);
+  id @2 :UInt64;
 }
--- a/src/coltsfootspar/wire/crashes.py
+++ b/src/coltsfootspar/wire/crashes.py
@@ -64,15 +64,19 @@
 
 @attrs.frozen
 class CrashNotice:
-    """Message from one node to another that serves the same service."""
+    """Message from one node to another that serves the same service.
+
+    :param id: equal for copies that are sent again; random.
+    """
 
     kind: CrashNoticeKind
     entries: tuple[CrashEntry, ...] = ()
+    id: int = 0
 
 
 def encode_crash_notice(notice: CrashNotice) -> bytes:
     """Encodes a notice."""
-    message = create_struct(_schema.Notice, kind=int(notice.kind))
+    message = create_struct(_schema.Notice, kind=int(notice.kind), id=notice.id)
     if notice.entries:
         entries = [_write_entry(entry) for entry in notice.entries]
         add_structs(message, "entries", entries)
@@ -89,6 +93,7 @@
         return CrashNotice(
             CrashNoticeKind(message.kind),
             tuple(_read_entry(entry) for entry in message.entries),
+            message.id,
         )
     except (capnp.KjException, ValueError) as error:
         raise FrameError("crash notice has a malformed field") from error
