Answer each operator while a replica stops

In a planned stop of a replica process, an operator who connected after SIGTERM was closed without an answer, though the port still accepted connections. A change whose body ended late in the drain was sent to the cluster and cut without an answer when the drain ended: a change takes up to 2.5 s, the drain 3 s. A request whose body never ended got nothing either.

Cause: as in the stop of a node, requests were taken although the time left was too short for them. Now requests that have arrived when the stop begins complete; those with an incomplete body, and all later ones, are answered 503 with Retry-After until the process ends, and never reach the cluster. What the drain could not complete gets 503, too, which promises nothing about a change.

--- a/src/coltsfootspar/fleet/control.py
+++ b/src/coltsfootspar/fleet/control.py
@@ -1,5 +1,6 @@
 """Requests to the control address: status reports and changes of the routes."""
 
+import math
 from collections.abc import Awaitable, Callable
 
 import attrs
@@ -50,6 +51,7 @@
 
     async def handle(self, exchange: Exchange) -> None:
         """Responds to one request."""
+        exchange.set_deadline(math.inf, lambda: self._respond_stopping(exchange))
         await exchange.buffer_body(_MAX_BODY_BYTES)
         request = exchange.request
         target = request.target.decode("latin-1")
@@ -66,6 +68,12 @@
                 response = await self._serve(decoded)
         await exchange.answer(response.status, _JSON_HEADERS, response.body)
 
+    async def _respond_stopping(self, exchange: Exchange) -> None:
+        """Responds to a request that the stop of the process ends."""
+        response = create_error_response(503, "the process stops")
+        headers = [*_JSON_HEADERS, (b"Retry-After", b"1")]
+        await exchange.answer(response.status, headers, response.body)
+
 
 def create_error_response(status: int, text: str) -> ControlResponse:
     """Creates an error response.
--- a/src/coltsfootspar/fleet/replica.py
+++ b/src/coltsfootspar/fleet/replica.py
@@ -95,6 +95,7 @@
     seats: SeatMap
     _random: random.Random
     _may_bootstrap: bool = attrs.field(init=False)
+    _is_stopping: bool = False
     _control: RelayServer | None = None
     _replica: Replica | None = None
 
@@ -138,13 +139,20 @@
             await nursery.start(metrics.serve, address)
             logging.info("Replica process %s has started", settings.id)
             await wait_for_stop()
-            with trio.move_on_after(_DRAIN_TIMEOUT_SECONDS):
-                await self._control.drain()
+            await self._stop_control()
             await self.membership.depart()
             nursery.cancel_scope.cancel()
         logging.info("Replica process %s has stopped", settings.id)
         return 0
 
+    async def _stop_control(self) -> None:
+        """Completes the requests of operators that have arrived, refuses all others."""
+        self._is_stopping = True
+        self._control.cancel_incomplete()
+        with trio.move_on_after(_DRAIN_TIMEOUT_SECONDS):
+            await self._control.finish_requests()
+        await self._control.expire_in_flight()
+
     def _read_core(self, name: str) -> float:
         return getattr(self._replica.core, name) if self._replica else 0
 
@@ -363,7 +371,13 @@
     def _serve_operators(self, client) -> None:
         control = ReplicaControl(client, self.adapter)
         handler = create_control_handler(self.adapter, control.serve)
-        self._control.handler = handler.handle
+
+        async def handle(exchange) -> None:
+            # What begins now could take longer than the drain.
+            serve = self._reject_control if self._is_stopping else handler.handle
+            await serve(exchange)
+
+        self._control.handler = handle
 
     async def _watch_seat(self, replica: Replica, disk: Disk, seat: str) -> None:
         """Announces the seat, keeps the seat map up to date and detects its loss.
