Refuse late calls that a stopping product node could only cut

In a planned stop of a product node, calls that its backend server made late in the drain were passed on and cut without an answer when the drain time ended.

Cause: the outbound side stays open while a call of another node or a client is in progress, since such a call may make calls of its own; nothing compared the time limit of a new call with the time left. It is the cause of the fault in the stop of the platform's node. Once the drain has begun, a call that belongs to no request in progress is passed on only if its deadline passes before the drain time ends, and refused as not run (503, "stopping") otherwise. Calls of a request in progress go on.

--- a/src/coltsfootspar/node/pipeline.py
+++ b/src/coltsfootspar/node/pipeline.py
@@ -3,6 +3,8 @@
 The same code runs in the node program and in the bench.
 """
 
+import math
+
 import attrs
 import trio
 import xxhash
@@ -41,7 +43,10 @@
 
 @attrs.define(eq=False)
 class Pipeline:
-    """Carries calls out to other nodes and in to the own backend server."""
+    """Carries calls out to other nodes and in to the own backend server.
+
+    :param ends_at: when the node ends what is in progress, trio clock, seconds.
+    """
 
     _node_id: str
     _table: TableView
@@ -54,6 +59,7 @@
     _contexts: ContextStore = attrs.field(factory=create_context_store)
     _is_draining: bool = False
     in_progress: int = 0
+    ends_at: float = math.inf
 
     def drain(self) -> None:
         """Takes no new work for the own backend server from now on."""
@@ -170,6 +176,10 @@
             context=context,
         )
         try:
+            if context.depth == 0 and context.deadline > self.ends_at:
+                # The stop could cut it while a server is at work. Calls of a request
+                # in progress go on, since it could not complete without them.
+                raise RefusedError("the node is stopping", code="stopping")
             entry_pass = self._gate.admit(row, context)
         except RefusedError as error:
             refused = describe_error(error, context.allowance)
--- a/src/coltsfootspar/node/program.py
+++ b/src/coltsfootspar/node/program.py
@@ -113,7 +113,9 @@
     async def _finish_requests(self) -> bool:
         parts = self._parts
         await trio.sleep(_NOTICE_SECONDS)
-        with trio.move_on_after(parts.settings.drain_seconds):
+        ends_at = trio.current_time() + parts.settings.drain_seconds
+        parts.pipeline.ends_at = ends_at
+        with trio.move_on_at(ends_at):
             await parts.inbound.drain()
             await self._peers.drain()
             await parts.outbound.drain()
--- a/src/coltsfootspar/node/replies.py
+++ b/src/coltsfootspar/node/replies.py
@@ -17,6 +17,7 @@
     "queue-full": 503,
     "deadline-unreachable": 503,
     "draining": 503,
+    "stopping": 503,
     "rate-limit": 429,
     "concurrency-limit": 429,
     "deadline": 504,
