Answer requests that have arrived when the h11 server drains

In a planned stop of a product node, a request that had arrived on a kept connection in the moment of the drain was reset unread; so was one on a connection whose last answer, begun before the drain, had promised to keep it. The caller could not tell whether it had run.

Cause: the drain closed each connection that served no request, without a look at its unread bytes, and a connection ended after the answer in progress even if that answer did not say so. Both now look for unread input first; the answer to such a request closes the connection.

Both tests failed before: the drain returned with no request answered, and the connection ended after the first answer.

--- a/src/coltsfootspar/web/server.py
+++ b/src/coltsfootspar/web/server.py
@@ -16,7 +16,7 @@
     HttpServer,
     WebLimits,
 )
-from coltsfootspar.web.sockets import set_socket_options
+from coltsfootspar.web.sockets import is_readable, set_socket_options
 from coltsfootspar.wire import Address
 
 __all__ = ["create_h11_server"]
@@ -117,10 +117,13 @@
         )
 
     def close_if_idle(self) -> None:
-        """Ends the connection unless it serves a request."""
-        if not self._is_serving:
+        """Ends the connection unless a request is being served or waits unread."""
+        if not self._is_serving and not self._has_unread_input():
             self._scope.cancel()
 
+    def _has_unread_input(self) -> bool:
+        return bool(self._http.trailing_data[0]) or is_readable(self._stream)
+
     async def run(self) -> None:
         """Serves the requests of the connection one after the other."""
         with self._scope:
@@ -154,7 +157,8 @@
 
     async def _serve_requests(self) -> None:
         try:
-            while not self._server.is_draining:
+            # In a drain, the next answer closes the connection.
+            while True:
                 request = await self._read_request()
                 if request is None:
                     return
@@ -168,6 +172,8 @@
             return
 
     async def _read_request(self) -> HttpRequest | None:
+        if self._server.is_draining and not self._has_unread_input():
+            return None
         if not self._http.trailing_data[0] and not await self._wait_for_data():
             return None
         self._is_serving = True
--- a/src/coltsfootspar/web/sockets.py
+++ b/src/coltsfootspar/web/sockets.py
@@ -1,10 +1,11 @@
-"""Socket options that reveal connections whose path has failed."""
+"""State of connections, and options that reveal those whose path has failed."""
 
+import select
 import socket
 
 import trio
 
-__all__ = ["set_socket_options"]
+__all__ = ["is_readable", "set_socket_options"]
 
 _KEEPALIVE_IDLE_SECONDS = 1
 _KEEPALIVE_INTERVAL_SECONDS = 1
@@ -29,3 +30,10 @@
     ):
         if hasattr(socket, option):
             stream.setsockopt(socket.IPPROTO_TCP, getattr(socket, option), value)
+
+
+def is_readable(stream: trio.SocketStream) -> bool:
+    """Tells whether data waits unread, or the peer has closed the connection."""
+    poller = select.poll()
+    poller.register(stream.socket.fileno(), select.POLLIN)
+    return bool(poller.poll(0))
--- a/src/coltsfootspar/web/tests/test_web.py
+++ b/src/coltsfootspar/web/tests/test_web.py
@@ -1,6 +1,7 @@
 """Servers and clients must pass whole messages and refuse broken ones."""
 
 import contextlib
+import socket
 
 import pytest
 import trio
@@ -159,6 +160,52 @@
     assert not caught.value.may_have_run
 
 
+async def test_drain_answers_a_request_that_has_just_arrived():
+    """Guards against a stop that resets a connection whose request it has not read."""
+    answers = []
+
+    async def work(request):
+        await trio.sleep(0.05)
+        answers.append(request.target)
+        return HttpResponse(200, (), b"whole")
+
+    async with open_server(work) as (running, address):
+        with socket.create_connection((address.host, address.port)) as kept:
+            await trio.sleep(0.05)
+            kept.sendall(b"GET /kept HTTP/1.1\r\nhost: a\r\n\r\n")
+            with trio.fail_after(5):
+                await running.drain()
+            assert answers == ["/kept"]
+            assert b"whole" in kept.recv(1000)
+
+
+async def test_drain_answers_a_request_on_a_connection_that_was_to_be_kept():
+    """Guards against a reset where the last answer has promised a further request."""
+    started = trio.Event()
+    body = b"x" * (8 << 20)
+
+    async def work(request):
+        started.set()
+        return HttpResponse(200, (), body if request.target == "/first" else b"whole")
+
+    async with open_server(work) as (running, address):
+        stream = await trio.open_tcp_stream(address.host, address.port)
+        await stream.send_all(b"GET /first HTTP/1.1\r\nhost: a\r\n\r\n")
+        await started.wait()
+        # The answer's head is out, and the caller doesn't read its body yet.
+        await trio.sleep(0.05)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(running.drain)
+            await trio.sleep(0.05)
+            await stream.send_all(b"GET /next HTTP/1.1\r\nhost: a\r\n\r\n")
+            received = bytearray()
+            with trio.fail_after(20):
+                async for chunk in stream:
+                    received += chunk
+    assert received.endswith(b"whole")
+    assert received.count(b"connection: close") == 1
+
+
 @pytest.mark.parametrize("client", CLIENTS)
 @pytest.mark.parametrize(
     "data",
