Let a drain on hypercorn wait as long as its caller does

With hypercorn as the server of a product node, a request that ran for more than 3 s after the drain began was cut without an answer: hypercorn ends its connections 3 s after the drain has begun, whatever the drain time of the node. Our servers now set no such limit; whoever drains them has one. The replica keeps its 3 s for operators, as a limit of its own, so that they leave its peers as much time as before.

The test failed before: with the limit set to 0.1 s, the caller of a request of 0.5 s did not get its answer.

--- a/src/coltsfootspar/replica/program.py
+++ b/src/coltsfootspar/replica/program.py
@@ -27,6 +27,8 @@
 __all__ = ["format_data_folder", "run_replica"]
 
 _DRAIN_SECONDS = 5.0
+# Most of it that requests of operators may take.
+_OPERATORS_DRAIN_SECONDS = 3.0
 
 
 async def format_data_folder(settings: ReplicaSettings | NodeSettings) -> int:
@@ -105,7 +107,8 @@
                     logging.info("Received %s", signal.Signals(number).name)
                     break
                 with trio.move_on_after(_DRAIN_SECONDS):
-                    await admin.drain()
+                    with trio.move_on_after(_OPERATORS_DRAIN_SECONDS):
+                        await admin.drain()
                     await self._service.server.drain()
                 logging.info("Replica %s stopped", block.id)
                 nursery.cancel_scope.cancel()
--- a/src/coltsfootspar/web/hypercorn.py
+++ b/src/coltsfootspar/web/hypercorn.py
@@ -1,5 +1,6 @@
 """HTTP server on hypercorn."""
 
+import math
 from collections.abc import Callable
 
 import attrs
@@ -44,6 +45,8 @@
         config.bind = [str(address)]
         config.errorlog = None
         config.keep_alive_max_requests = _REQUESTS_PER_CONNECTION
+        # Whoever drains the server limits the time.
+        config.graceful_timeout = math.inf
         config.keep_alive_timeout = self._limits.idle_seconds
         config.h11_max_incomplete_size = self._limits.header_bytes
         async with trio.open_nursery() as nursery:
--- a/src/coltsfootspar/web/tests/test_web.py
+++ b/src/coltsfootspar/web/tests/test_web.py
@@ -5,6 +5,7 @@
 
 import pytest
 import trio
+from hypercorn.config import Config
 
 from coltsfootspar.exceptions import TransferError
 from coltsfootspar.web import HttpRequest, HttpResponse, WebLimits
@@ -160,6 +161,32 @@
     assert not caught.value.may_have_run
 
 
+async def test_drain_on_hypercorn_has_no_time_limit_of_its_own(monkeypatch):
+    """Guards against a long request that a drain cuts and takes for complete."""
+    monkeypatch.setattr(Config, "graceful_timeout", 0.1)
+    started, release = trio.Event(), trio.Event()
+    answers = []
+
+    async def work(request):
+        started.set()
+        await release.wait()
+        return HttpResponse(200, (), b"whole")
+
+    async with open_server(work, create_hypercorn_server) as (running, address):
+
+        async def ask():
+            data = b"GET / HTTP/1.1\r\nhost: a\r\n\r\n"
+            answers.append(await exchange_raw(address, data))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask)
+            await started.wait()
+            nursery.start_soon(running.drain)
+            await trio.sleep(0.5)
+            release.set()
+    assert answers[0].endswith(b"whole")
+
+
 async def test_drain_answers_a_request_that_has_just_arrived():
     """Guards against a stop that resets a connection whose request it has not read."""
     answers = []
