Answer operators whose requests a stopping product node has read

In a planned stop of a product node, a change of the table that an operator had sent late was cut without an answer when the node's calls had ended: the node closed its admin server without a drain. It now drains it, for at most 3 s, once all calls have ended, so that the state of the drain can be read until then.

The test failed before: the node ended with the change unanswered.

--- a/src/coltsfootspar/node/program.py
+++ b/src/coltsfootspar/node/program.py
@@ -22,6 +22,8 @@
 # Other nodes send no new work after this time; calls that were on their way
 # when the notice went out are still answered.
 _NOTICE_SECONDS = 0.5
+# For requests of operators that are in progress when all calls have ended.
+_OPERATORS_DRAIN_SECONDS = 3.0
 
 
 async def run_node(settings: NodeSettings) -> int:
@@ -65,6 +67,8 @@
             await self._announce_leaving()
             await self._stop.wait()
             is_clean = await self._finish_requests()
+            with trio.move_on_after(_OPERATORS_DRAIN_SECONDS):
+                await admin.drain()
             await parts.membership.depart()
             nursery.cancel_scope.cancel()
         return EXIT_CLEAN if is_clean else EXIT_DRAIN_TIME
--- a/src/coltsfootspar/node/tests/test_program.py
+++ b/src/coltsfootspar/node/tests/test_program.py
@@ -84,3 +84,73 @@
     assert replies[1].outcome is Outcome.NOT_RUN
     assert replies[1].refusal.code == "stopping"
     assert (await pipeline.enter(create_call("short"))).status == 503
+
+
+class OperatorServer:
+    """Admin server with a change in progress, which takes a second."""
+
+    def __init__(self):
+        self.is_answered = False
+
+    async def serve(self, address, task_status):
+        task_status.started()
+        await trio.sleep(1)
+        self.is_answered = True
+
+    async def drain(self):
+        while not self.is_answered:  # noqa: ASYNC110
+            await trio.sleep(0.1)
+
+
+class StubServer:
+    """Server without requests in progress."""
+
+    async def serve(self, address=None, task_status=trio.TASK_STATUS_IGNORED):
+        task_status.started()
+
+    async def run(self):
+        pass
+
+    async def depart(self):
+        pass
+
+
+class IdleProgram(_NodeProgram):
+    """Program that is told to stop at once and has no calls in progress."""
+
+    def _create_admin(self):
+        return self._parts.admin
+
+    async def _serve_peers(self, task_status):
+        task_status.started()
+
+    async def _watch_signals(self):
+        self._drain.set()
+        self._stop.set()
+
+    async def _sweep(self):
+        pass
+
+    async def _announce_leaving(self):
+        pass
+
+    async def _finish_requests(self):
+        return True
+
+
+async def test_stopping_node_answers_the_operator_whose_change_it_has_read(
+    autojump_clock,
+):
+    """Guards against a change of an operator that a stop ends without an answer."""
+    admin, stub = OperatorServer(), StubServer()
+    names = ("timers", "links", "once", "membership", "feed", "outbound", "inbound")
+    listen = types.SimpleNamespace(admin=None, outbound=None, inbound=None)
+    node = types.SimpleNamespace(id="n")
+    parts = types.SimpleNamespace(
+        **dict.fromkeys(names, stub),
+        admin=admin,
+        replica=None,
+        settings=types.SimpleNamespace(listen=listen, node=node),
+    )
+    assert await IdleProgram(parts).run() == 0
+    assert admin.is_answered
