Keep settings when a reload finds a file nested too deep

A reload of a settings file with some 100,000 open brackets ended the process, with all requests in progress: the reader's RecursionError was no SettingsError. It is one now, so that the settings in force stay and the log says why.

The test failed before with the RecursionError.

--- a/src/coltsfootspar/fleet/tests/test_reloading.py
+++ b/src/coltsfootspar/fleet/tests/test_reloading.py
@@ -70,6 +70,14 @@
     assert file.settings.peer_port == CONTENT["peer_port"]
 
 
+def test_settings_nested_too_deep_are_not_applied(write, tmp_path):
+    """Guards against a reload that ends the process and the requests in progress."""
+    file = open_settings(write(), load_fleet_replica_settings)
+    (tmp_path / "settings.jsonc").write_text("[" * 200_000)
+    file.reload()
+    assert file.settings.peer_port == CONTENT["peer_port"]
+
+
 def test_invalid_settings_at_start(write):
     """Guards against a process that starts with invalid settings."""
     with pytest.raises(SettingsError):
--- a/src/coltsfootspar/settings/loading.py
+++ b/src/coltsfootspar/settings/loading.py
@@ -85,7 +85,7 @@
         content = jsonc.loads(pathlib.Path(path).read_text(encoding="utf-8"))
     except OSError as error:
         raise SettingsError([f"{path}: {error.strerror}"]) from error
-    except ValueError as error:
+    except (RecursionError, ValueError) as error:
         raise SettingsError([f"{path}: not valid JSON with comments: {error}"]) from (
             error
         )
