Answer status reports that are incomplete when a node stops

A status report of the backend server whose body was not complete when the stopping node ended was cut without an answer: the control server was closed as it was. It is now told 503, while the node announces its departure. A report that was read whole was always answered: nothing waits between its last byte and its answer.

The test failed before: the report did not get a 503. That it got no byte is read in the code, not shown.

--- a/src/coltsfootspar/fleet/node.py
+++ b/src/coltsfootspar/fleet/node.py
@@ -167,7 +167,10 @@
             logging.info("Node %s has started", settings.id)
             await wait_for_stop()
             is_clean = await self._stop()
-            await self.membership.depart()
+            async with trio.open_nursery() as last:
+                last.start_soon(self.membership.depart)
+                self.control.is_draining = True
+                last.start_soon(self.control.expire_in_flight)
             nursery.cancel_scope.cancel()
         counters = self.forwarder.counters
         logging.info(
--- a/src/coltsfootspar/fleet/tests/test_stopping.py
+++ b/src/coltsfootspar/fleet/tests/test_stopping.py
@@ -365,3 +365,24 @@
     with trio.move_on_after(seconds):
         return await stream.receive_some()
     return b""
+
+
+async def test_stop_answers_a_status_report_whose_body_is_late(stopping):
+    """Guards against a backend server whose report a stop ends without an answer."""
+    control = stopping.node.settings.control
+    stream = await trio.open_tcp_stream(control.host, control.port)
+    answers = []
+
+    async def report():
+        data = encode("POST", "/report", body=b"{}")
+        answers.append(await send_and_read(stream, data[:-1]))
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(report)
+        with trio.fail_after(TIMEOUT_SECONDS):
+            while not stopping.node.control.exchanges:  # noqa: ASYNC110
+                await trio.sleep(0.01)
+            stopping.stop.set()
+            await stopping.ended.wait()
+    assert answers[0].startswith(b"HTTP/1.1 503")
+    assert stopping.exit_codes == [0]
