Wait in the test of a stopping replica until it serves operators

The test failed once in two traced runs on the fixed code: its first request came before the process had begun to serve operators, and was refused at once. The test then waited for a state that could not come. It now waits for the start first; what it checks is unchanged.

--- a/src/coltsfootspar/fleet/tests/test_replica_stopping.py
+++ b/src/coltsfootspar/fleet/tests/test_replica_stopping.py
@@ -64,6 +64,10 @@
         """Counts the requests in progress and those read whole."""
         return len(self.process._control.exchanges) + self.adapter.decoded
 
+    def serves_operators(self) -> bool:
+        control = self.process._control
+        return control is not None and control.handler != self.process._reject_control
+
     async def connect(self) -> trio.SocketStream:
         address = self.process.settings.control
         with trio.fail_after(TIMEOUT_SECONDS):
@@ -118,6 +122,9 @@
 async def test_stopping_replica_answers_each_operator(stopping):
     """Guards against a change that a stop takes late and ends without an answer."""
     stopping.nursery.start_soon(stopping.run)
+    with trio.fail_after(TIMEOUT_SECONDS):
+        while not stopping.serves_operators():  # noqa: ASYNC110
+            await trio.sleep(0.01)
     early, held, open_body = [await stopping.connect() for _ in range(3)]
     await held.send_all(POST)
     async with trio.open_nursery() as callers:
