Try blocked requests one after the other

Seen when reading the change again: requests that were blocked together, one to blame and innocent ones that ran beside it, came to the end of their blocks together.

Other nodes have servers of their own.

--- a/src/coltsfootspar/relay/crashes.py
+++ b/src/coltsfootspar/relay/crashes.py
@@ -64,11 +64,15 @@
     """Counts crashes by request and decides which requests are blocked.
 
     Nodes of one service tell each other of crashes, blocks and answers, so that a
-    crash counts wherever it happened.
+    crash counts wherever it happened. After their blocks, requests are tried one
+    after the other here, so that one that crashes the server meets no other.
     """
 
     _random: random.Random
     _records: dict[int, _Record] = attrs.field(factory=dict)
+    # Request that is being tried, and the end of its time, trio clock, seconds.
+    _trial: int | None = None
+    _trial_ends_at: float = _NEVER
 
     @property
     def is_empty(self) -> bool:
@@ -99,6 +103,7 @@
         if record is None:
             return False
         was_blocked = record.level > 0
+        self._end_trial(digest)
         self._records[digest] = _Record(answered_at=trio.current_time())
         return was_blocked
 
@@ -110,7 +115,11 @@
         record = self._records.get(digest)
         if record is None:
             return 0.0
-        return max(0.0, record.blocked_until - trio.current_time())
+        now = trio.current_time()
+        ends_at = record.blocked_until
+        if ends_at <= now and record.level and self._trial not in (None, digest):
+            ends_at = self._trial_ends_at
+        return max(0.0, ends_at - now)
 
     def begin_trial(self, digest: int) -> None:
         """Holds back further copies while one runs after the end of a block."""
@@ -118,6 +127,7 @@
         if record is not None and record.level:
             record.blocked_until = trio.current_time() + TRIAL_SECONDS
             record.is_on_trial = True
+            self._trial, self._trial_ends_at = digest, record.blocked_until
 
     def block_known(self, digests: list[int]) -> list[int]:
         """Blocks those of the requests that have been blocked before.
@@ -144,6 +154,7 @@
             seconds = BLOCK_SECONDS * BLOCK_GROWTH**record.level
             record.level = min(MAX_LEVEL, record.level + 1)
             record.is_on_trial = False
+            self._end_trial(digest)
             record.blocked_until = now + min(MAX_BLOCK_SECONDS, seconds)
             blocked.append(digest)
         return blocked
@@ -215,6 +226,10 @@
         for digest in [d for d, r in self._records.items() if r.expires_at < now]:
             del self._records[digest]
 
+    def _end_trial(self, digest: int) -> None:
+        if self._trial == digest:
+            self._trial = None
+
     def _get_level(self, digest: int) -> int:
         record = self._records.get(digest)
         return record.level if record is not None else 0
--- a/src/coltsfootspar/relay/tests/test_crashing_requests.py
+++ b/src/coltsfootspar/relay/tests/test_crashing_requests.py
@@ -280,6 +280,23 @@
     assert records.find_block(DIGEST) == 0
 
 
+async def test_blocked_requests_are_tried_one_after_the_other(records, mock_clock):
+    """Guards against a request that is blocked again for what is tried beside it."""
+    for _ in range(CRASHES_UNTIL_BLOCKED):
+        records.count_crash(DIGEST + 1, trio.current_time())
+        crash(records, mock_clock, 1)
+    assert records.block_suspects([DIGEST + 1]) == [DIGEST + 1]
+    mock_clock.jump(BLOCK_SECONDS)
+    records.begin_trial(DIGEST)
+    assert records.find_block(DIGEST + 1) == pytest.approx(TRIAL_SECONDS)
+    records.record_answer(DIGEST)
+    assert records.find_block(DIGEST + 1) == 0
+    records.begin_trial(DIGEST + 1)
+    crash(records, mock_clock, 1)
+    assert records.block_suspects([DIGEST + 1]) == [DIGEST + 1]
+    assert records.find_block(DIGEST) == 0
+
+
 async def test_crash_during_a_block_does_not_extend_it(records, mock_clock):
     """Guards against copies in progress elsewhere that make a block longer."""
     crash(records, mock_clock, CRASHES_UNTIL_BLOCKED)
