--- a/src/coltsfootspar/fleet/node.py
+++ b/src/coltsfootspar/fleet/node.py
@@ -193,24 +193,40 @@
         self.membership.leave()
         self.outbound.is_draining = True
         self.inbound.is_draining = True
+        ends_at = stopped_at + self.settings.bounds.grace_seconds * _DRAIN_SHARE
+        with trio.move_on_at(ends_at):
+            await self._finish_requests(stopped_at, ends_at)
+            return True
+        await self._expire_requests(stopped_at)
+        return False
+
+    async def _finish_requests(self, stopped_at: float, ends_at: float) -> None:
+        """Refuses further requests step by step and waits for those in progress.
+
+        :param stopped_at: when the stop began, trio clock, seconds.
+        :param ends_at: when requests in progress are ended, trio clock, seconds.
+        """
         grace = self.settings.bounds.grace_seconds
-        ends_at = stopped_at + grace * _DRAIN_SHARE
         propagation = min(_LEAVE_PROPAGATION_SECONDS, grace * _LEAVE_PROPAGATION_SHARE)
         lag = min(_READINESS_LAG_SECONDS, grace * _READINESS_LAG_SHARE)
-        with trio.move_on_at(ends_at):
-            await trio.sleep_until(stopped_at + propagation)
-            self.receiver.is_leaving = True
-            await trio.sleep_until(stopped_at + lag)
-            # A request with a later deadline could be cut while a server is at work.
-            self.forwarder.ends_at = ends_at
-            self.outbound.close_idle()
-            # Inbound first: calls in flight make outbound calls until they complete.
-            self.inbound.cancel_incomplete()
-            await self.inbound.finish_requests()
-            self.forwarder.ends_at = -math.inf
-            self.outbound.cancel_incomplete()
-            await self.outbound.finish_requests()
-            return True
+        await trio.sleep_until(stopped_at + propagation)
+        self.receiver.is_leaving = True
+        await trio.sleep_until(stopped_at + lag)
+        # A request with a later deadline could be cut while a server is at work.
+        self.forwarder.ends_at = ends_at
+        self.outbound.close_idle()
+        # Inbound first: calls in flight make outbound calls until they complete.
+        self.inbound.cancel_incomplete()
+        await self.inbound.finish_requests()
+        self.forwarder.ends_at = -math.inf
+        self.outbound.cancel_incomplete()
+        await self.outbound.finish_requests()
+
+    async def _expire_requests(self, stopped_at: float) -> None:
+        """Ends the requests in progress.
+
+        :param stopped_at: when the stop began, trio clock, seconds.
+        """
         self.forwarder.ends_at = -math.inf
         in_flight = len(self.outbound.exchanges) + len(self.inbound.exchanges)
         logging.warning("Grace period expired with %d requests in flight", in_flight)
@@ -218,7 +234,6 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.inbound.expire_in_flight)
             nursery.start_soon(self.outbound.expire_in_flight)
-        return False
 
     def _log_in_flight(self, stopped_at: float) -> None:
         """Writes a line for each request in progress.
