End connections in a drain that callers have closed

Cause: since a drain of the h11 server looks for unread requests, the end of a stream, which stays readable, counted as one. A caller that closed its side while the answer to it was being sent left a connection that waited for its idle time; outside a drain such a connection had always waited so. A connection whose stream has ended and whose parser holds no request now ends.

--- a/src/coltsfootspar/web/server.py
+++ b/src/coltsfootspar/web/server.py
@@ -122,7 +122,10 @@
             self._scope.cancel()
 
     def _has_unread_input(self) -> bool:
-        return bool(self._http.trailing_data[0]) or is_readable(self._stream)
+        if self._http.trailing_data[0]:
+            return True
+        # The end of the stream stays readable.
+        return not self._is_closed and is_readable(self._stream)
 
     async def run(self) -> None:
         """Serves the requests of the connection one after the other."""
@@ -172,7 +175,8 @@
             return
 
     async def _read_request(self) -> HttpRequest | None:
-        if self._server.is_draining and not self._has_unread_input():
+        has_ended = self._is_closed or self._server.is_draining
+        if has_ended and not self._has_unread_input():
             return None
         if not self._http.trailing_data[0] and not await self._wait_for_data():
             return None
--- a/src/coltsfootspar/web/tests/test_web.py
+++ b/src/coltsfootspar/web/tests/test_web.py
@@ -206,6 +206,30 @@
             assert b"whole" in kept.recv(1000)
 
 
+async def test_drain_does_not_wait_for_a_caller_that_has_gone():
+    """Guards against a stop that waits for connections which callers have closed."""
+    started = trio.Event()
+
+    async def work(request):
+        started.set()
+        return HttpResponse(200, (), b"x" * (8 << 20))
+
+    async with open_server(work) as (running, address):
+        stream = await trio.open_tcp_stream(address.host, address.port)
+        await stream.send_all(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n")
+        await started.wait()
+        # The answer's head is out, and the caller ends its side before it reads on.
+        await trio.sleep(0.05)
+        await stream.send_eof()
+        await trio.sleep(0.05)
+        with trio.fail_after(20):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(running.drain)
+                while await stream.receive_some():
+                    pass
+        await stream.aclose()
+
+
 async def test_drain_answers_a_request_on_a_connection_that_was_to_be_kept():
     """Guards against a reset where the last answer has promised a further request."""
     started = trio.Event()
