Call what stands already in place of writing it again

The notifier of crashes had a directory protocol equal to NodeDirectory, and built notices in two places; replies had a search for headers beside calls.find_header; the probe of a port repeated the connecting of connect.

--- a/src/coltsfootspar/relay/calls.py
+++ b/src/coltsfootspar/relay/calls.py
@@ -169,10 +169,6 @@
     finish: Callable[[], None] = do_nothing
     retry_allowance: float | None = None
 
-    def find_header(self, name: bytes) -> bytes:
-        """Returns the value of a header; empty without it."""
-        return dict(self.headers).get(name, b"")
-
 
 @attrs.frozen
 class OutgoingCall:
--- a/src/coltsfootspar/relay/crash_notices.py
+++ b/src/coltsfootspar/relay/crash_notices.py
@@ -3,7 +3,6 @@
 import collections
 import random
 from collections.abc import Callable, Sequence
-from typing import Protocol
 
 import attrs
 import trio
@@ -15,8 +14,8 @@
 from coltsfootspar.relay.client import ConnectionPool, OutgoingRequest
 from coltsfootspar.relay.connections import Exchange, Handler
 from coltsfootspar.relay.crash_guard import CrashGuard
+from coltsfootspar.relay.forwarding import NodeDirectory
 from coltsfootspar.relay.messages import encode_request
-from coltsfootspar.routing import Candidate
 from coltsfootspar.timers import TimerService
 from coltsfootspar.wire import Address
 from coltsfootspar.wire.crashes import (
@@ -48,16 +47,6 @@
 _ID_BITS = 64
 
 
-class PeerDirectory(Protocol):
-    """Looks up the other nodes of a service."""
-
-    def list_candidates(self, service: str) -> Sequence[Candidate]:
-        """Lists the reachable nodes whose backend server offers a service."""
-
-    def find_address(self, node_id: str) -> Address | None:
-        """Returns the address at which a node accepts calls from other nodes."""
-
-
 @attrs.define(eq=False)
 class CrashNotifier:
     """Exchanges what the nodes of a service know of requests that crash servers.
@@ -69,7 +58,7 @@
 
     _node_id: str
     _guard: CrashGuard
-    _directory: PeerDirectory
+    _directory: NodeDirectory
     _find_service: Callable[[], str]
     _random: random.Random
     _known_ids: collections.deque = attrs.field(
@@ -166,12 +155,11 @@
             if records.is_empty:
                 continue
             records.drop_expired(now)
-            blocked = tuple(records.list_blocked()[:_MAX_ENTRIES])
+            blocked = records.list_blocked()
             peers = self._list_peers()
             if blocked and peers:
                 chosen = self._random.sample(peers, min(_REPEAT_FANOUT, len(peers)))
-                notice_id = self._random.getrandbits(_ID_BITS)
-                notice = CrashNotice(CrashNoticeKind.BLOCKED, blocked, notice_id)
+                notice = self._create_notice(CrashNoticeKind.BLOCKED, blocked)
                 await self._send_to_peers(chosen, notice)
 
     def _list_peers(self) -> list[str]:
@@ -247,7 +235,7 @@
 def create_crash_notifier(
     node_id: str,
     guard: CrashGuard,
-    directory: PeerDirectory,
+    directory: NodeDirectory,
     find_service: Callable[[], str],
     rng: random.Random,
 ) -> CrashNotifier:
--- a/src/coltsfootspar/relay/crashes.py
+++ b/src/coltsfootspar/relay/crashes.py
@@ -213,10 +213,10 @@
             level=record.level,
         )
 
-    def list_blocked(self) -> list[CrashEntry]:
-        """Lists the entries of the requests that are blocked now."""
-        entries = (self.describe(digest) for digest in self._records)
-        return [entry for entry in entries if entry.blocked_for]
+    def list_blocked(self) -> list[int]:
+        """Lists the digests of the requests that are blocked now."""
+        now = trio.current_time()
+        return [d for d, record in self._records.items() if record.blocked_until > now]
 
     def drop_expired(self, now: float) -> None:
         """Forgets requests some time after their latest crash or block.
--- a/src/coltsfootspar/relay/forwarding.py
+++ b/src/coltsfootspar/relay/forwarding.py
@@ -7,7 +7,7 @@
 import attrs
 import trio
 
-from coltsfootspar.calls import Outcome
+from coltsfootspar.calls import Outcome, find_header
 from coltsfootspar.exceptions import TooLargeError, TransferError
 from coltsfootspar.logs import log_decision
 from coltsfootspar.relay.backend import RESPONSE_BUFFER_BYTES, BackendServer
@@ -298,7 +298,8 @@
         state.error = reply.error or str(reply.status)
         if reply.outcome is Outcome.NOT_RUN:
             if reply.error == BLOCKED_ERROR:
-                state.retry_after = reply.find_header(RETRY_AFTER_HEADER)
+                value = find_header(reply.headers, RETRY_AFTER_HEADER)
+                state.retry_after = value or RETRY_AFTER_SECONDS
                 return True
             is_shed = reply.error == "backend-shed"
             state.backend_attempts += is_shed
--- a/src/coltsfootspar/relay/sockets.py
+++ b/src/coltsfootspar/relay/sockets.py
@@ -79,11 +79,7 @@
     try:
         _set_options(sock)
         set_user_timeout(sock, allows_slow_reader=False)
-        code = sock.connect_ex((address.host, address.port))
-        if code == errno.EINPROGRESS:
-            with trio.move_on_after(timeout):
-                await trio.lowlevel.wait_writable(sock)
-                code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        code = await _try_connect(sock, address, timeout)
         if code != 0:
             text = f"{address} did not accept a connection: {errno.errorcode[code]}"
             raise TransferError(text, may_have_run=False, code="unreachable")
@@ -93,6 +89,19 @@
     return sock
 
 
+async def _try_connect(sock: socket.socket, address: Address, timeout: float) -> int:
+    """Connects a non-blocking socket.
+
+    :returns: error number; ``EINPROGRESS`` when the time is over, 0 for success.
+    """
+    code = sock.connect_ex((address.host, address.port))
+    if code == errno.EINPROGRESS:
+        with trio.move_on_after(timeout):
+            await trio.lowlevel.wait_writable(sock)
+            code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+    return code
+
+
 def listen(address: Address) -> socket.socket:
     """Opens a listening socket.
 
@@ -189,9 +198,5 @@
         return False
     with sock:
         sock.setblocking(False)
-        code = sock.connect_ex((address.host, address.port))
-        if code == errno.EINPROGRESS:
-            with trio.move_on_after(timeout):
-                await trio.lowlevel.wait_writable(sock)
-                code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        code = await _try_connect(sock, address, timeout)
         return code == errno.ECONNREFUSED
