--- a/src/coltsfootspar/fleet/node.py
+++ b/src/coltsfootspar/fleet/node.py
@@ -217,10 +217,10 @@
         self.outbound.close_idle()
         # Inbound first: calls in flight make outbound calls until they complete.
         self.inbound.cancel_incomplete()
-        await self.inbound.finish_requests()
+        await self.inbound.drain()
         self.forwarder.ends_at = -math.inf
         self.outbound.cancel_incomplete()
-        await self.outbound.finish_requests()
+        await self.outbound.drain()
 
     async def _expire_requests(self, stopped_at: float) -> None:
         """Ends the requests in progress.
--- a/src/coltsfootspar/fleet/replica.py
+++ b/src/coltsfootspar/fleet/replica.py
@@ -150,7 +150,7 @@
         self._is_stopping = True
         self._control.cancel_incomplete()
         with trio.move_on_after(_DRAIN_TIMEOUT_SECONDS):
-            await self._control.finish_requests()
+            await self._control.drain()
         await self._control.expire_in_flight()
 
     def _read_core(self, name: str) -> float:
--- a/src/coltsfootspar/relay/connections.py
+++ b/src/coltsfootspar/relay/connections.py
@@ -38,14 +38,12 @@
 
     :param exchanges: requests in progress.
     :param is_draining: true when connections close after the next response.
-    :param is_closing: true when no further requests are read.
     """
 
     handler: "Handler"
     limits: ClientLimits
     exchanges: set["Exchange"]
     is_draining: bool
-    is_closing: bool
 
     def add_exchange(self, exchange: "Exchange") -> None:
         """Adds a request in progress."""
@@ -293,8 +291,6 @@
         messages = self.reader.messages
         self.is_idle, self.is_reading_head = not messages, True
         self.waiting_since = trio.current_time()
-        if self.is_idle and self.server.is_closing:
-            return None
         try:
             if self.is_idle:
                 await wait_readable(self.sock)
--- a/src/coltsfootspar/relay/server.py
+++ b/src/coltsfootspar/relay/server.py
@@ -37,14 +37,12 @@
     :param exchanges: requests in progress.
     :param is_draining: true when connections close after the next response; new ones
         are still accepted.
-    :param is_closing: true when no further requests are read.
     """
 
     handler: Handler
     limits: ClientLimits = attrs.field(factory=ClientLimits)
     exchanges: set[Exchange] = attrs.field(factory=set)
     is_draining: bool = False
-    is_closing: bool = False
     _connections: set[Connection] = attrs.field(factory=set)
     _has_work: trio.Event = attrs.field(factory=trio.Event)
 
@@ -73,11 +71,6 @@
                     nursery.start_soon(self._run_connection, sock, host)
 
     async def drain(self) -> None:
-        """Stops reading requests and waits for those in progress."""
-        self.is_closing = True
-        await self.finish_requests()
-
-    async def finish_requests(self) -> None:
         """Closes idle connections and waits for the requests in progress.
 
         Further requests are still read, so the handler has to refuse them.
