Derive whether a blocked request is on trial

The records know which request is being tried; each record kept it as well. Behaviour unchanged: a request whose time of trial is over is no longer held back either way.

--- a/src/coltsfootspar/relay/crashes.py
+++ b/src/coltsfootspar/relay/crashes.py
@@ -41,7 +41,6 @@
 
     :param crashes: crashes since the latest answer.
     :param level: how often it has been blocked since the latest answer.
-    :param is_on_trial: true while a copy runs that was let through after a block.
     """
 
     crashes: int = 0
@@ -50,7 +49,6 @@
     answered_at: float = _NEVER
     blocked_until: float = _NEVER
     level: int = 0
-    is_on_trial: bool = False
 
     @property
     def expires_at(self) -> float:
@@ -126,7 +124,6 @@
         record = self._records.get(digest)
         if record is not None and record.level:
             record.blocked_until = trio.current_time() + TRIAL_SECONDS
-            record.is_on_trial = True
             self._trial, self._trial_ends_at = digest, record.blocked_until
 
     def block_known(self, digests: list[int]) -> list[int]:
@@ -149,11 +146,10 @@
             record = self._records.get(digest)
             if record is None or record.crashes < CRASHES_UNTIL_BLOCKED:
                 continue
-            if record.blocked_until > now and not record.is_on_trial:
+            if record.blocked_until > now and digest != self._trial:
                 continue
             seconds = BLOCK_SECONDS * BLOCK_GROWTH**record.level
             record.level = min(MAX_LEVEL, record.level + 1)
-            record.is_on_trial = False
             self._end_trial(digest)
             record.blocked_until = now + min(MAX_BLOCK_SECONDS, seconds)
             blocked.append(digest)
@@ -171,7 +167,8 @@
         record.crashes = max(record.crashes, entry.crashes)
         record.first_crash_at = now - entry.first_age
         record.last_crash_at = max(record.last_crash_at, now - entry.last_age)
-        record.level, record.is_on_trial = entry.level, False
+        record.level = entry.level
+        self._end_trial(entry.digest)
         factor = self._random.uniform(*ADOPTED_BLOCK_FACTORS)
         record.blocked_until = now + entry.blocked_for * factor
 
