Compute the digest of a request once

While a crash is on record, a request was hashed up to four times on its way to the server, its body included. 0.09 us for each further use, 0.68 us before without a body; creating a call takes 2.0 us as before. 291 tests of the relay pass.

--- a/src/coltsfootspar/relay/calls.py
+++ b/src/coltsfootspar/relay/calls.py
@@ -1,6 +1,7 @@
 """Calls between nodes: their headers and their replies."""
 
 import enum
+import functools
 from collections.abc import Awaitable, Callable
 
 import attrs
@@ -201,8 +202,9 @@
         """False once a part of a streamed body has been read."""
         return self.stream is None or not self.stream.is_started
 
-    def compute_digest(self) -> int:
-        """Returns the digest of the request; see :func:`compute_request_digest`."""
+    @functools.cached_property
+    def digest(self) -> int:
+        """Digest of the request; see :func:`compute_request_digest`."""
         if self.stream is not None:
             return self.streamed_digest
         return compute_request_digest(
--- a/src/coltsfootspar/relay/crash_detection.py
+++ b/src/coltsfootspar/relay/crash_detection.py
@@ -46,14 +46,14 @@
             sent_at <= self._crashed_at
             and now - self._crashed_at < BREAK_WINDOW_SECONDS
         ):
-            self._on_crash([outgoing.compute_digest()], self._crashed_at)
+            self._on_crash([outgoing.digest], self._crashed_at)
             return
         self._broken = [
             (broken_at, digest)
             for broken_at, digest in self._broken
             if now - broken_at < BREAK_WINDOW_SECONDS
         ]
-        self._broken.append((now, outgoing.compute_digest()))
+        self._broken.append((now, outgoing.digest))
         if self._is_probing:
             return
         self._is_probing = True
--- a/src/coltsfootspar/relay/crash_guard.py
+++ b/src/coltsfootspar/relay/crash_guard.py
@@ -40,18 +40,18 @@
         """Returns for how long a request must not reach the server, seconds."""
         if self.records.is_empty:
             return 0.0
-        return self.records.find_block(outgoing.compute_digest())
+        return self.records.find_block(outgoing.digest)
 
     def record_start(self, outgoing: OutgoingCall) -> None:
         """Takes note that a request is being sent to the server."""
         if not self.records.is_empty:
-            self.records.begin_trial(outgoing.compute_digest())
+            self.records.begin_trial(outgoing.digest)
 
     def record_answer(self, outgoing: OutgoingCall) -> None:
         """Takes note that the server has run a request and responded to it."""
         if self.records.is_empty:
             return
-        digest = outgoing.compute_digest()
+        digest = outgoing.digest
         if self.records.record_answer(digest):
             self.cleared.append(digest)
             self.has_news.set()
