Share the set-up of the tests that stop processes, and of two more files

Settings on free ports, free ports and the reading of callers stood in both tests of stops; the calls of one of two servers and the collecting of an answer in others. No assertion changed.

--- a/src/coltsfootspar/fleet/tests/test_replica_stopping.py
+++ b/src/coltsfootspar/fleet/tests/test_replica_stopping.py
@@ -1,7 +1,6 @@
 """Tests of the planned stop of a replica, with real sockets."""
 
 import random
-import socket
 
 import attrs
 import pytest
@@ -12,12 +11,12 @@
 from coltsfootspar.fleet.replica import FleetReplica
 from coltsfootspar.fleet.seats import create_seat_map
 from coltsfootspar.membership import open_udp_port
-from coltsfootspar.settings.fleet import FleetBounds, FleetReplicaSettings
+from coltsfootspar.settings.fleet import FleetReplicaSettings
 from coltsfootspar.timers import create_timer_service
 from coltsfootspar.wire import Address
 
-HOST = "127.0.0.1"
-TIMEOUT_SECONDS = 40
+from .conftest import HOST, TIMEOUT_SECONDS, create_settings, send_and_read
+
 READ = b"GET /routes HTTP/1.1\r\nHost: a\r\n\r\n"
 POST = b"POST /routes HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\na"
 
@@ -36,12 +35,6 @@
         return b""
 
 
-def find_free_port(kind=socket.SOCK_STREAM) -> int:
-    with socket.socket(type=kind) as sock:
-        sock.bind((HOST, 0))
-        return sock.getsockname()[1]
-
-
 @attrs.define(eq=False)
 class StoppingReplica:
     """A replica without a seat and without peers.
@@ -78,31 +71,15 @@
                     await trio.sleep(0.02)
 
     async def call(self, name: str, stream: trio.SocketStream, data: bytes) -> None:
-        received = b""
-        with trio.fail_after(TIMEOUT_SECONDS):
-            try:
-                await stream.send_all(data)
-                while chunk := await stream.receive_some():
-                    received += chunk
-            except trio.BrokenResourceError:
-                pass
+        received = await send_and_read(stream, data)
         self.answers[name] = received.partition(b"\r\n")[0][:12]
 
 
 @pytest.fixture
 async def stopping(tmp_path):
-    settings = FleetReplicaSettings(
+    settings = create_settings(
+        FleetReplicaSettings,
         id="core-1",
-        host=HOST,
-        region="r",
-        data_centre="a",
-        seeds=(Address(HOST, find_free_port()),),
-        shared_key="5f" * 16,
-        control=Address(HOST, find_free_port()),
-        peer_port=find_free_port(),
-        gossip_port=find_free_port(socket.SOCK_DGRAM),
-        metrics_port=find_free_port(),
-        bounds=FleetBounds(),
         data_folder=str(tmp_path),
         is_first_start=False,
     )
--- a/src/coltsfootspar/fleet/tests/test_stopping.py
+++ b/src/coltsfootspar/fleet/tests/test_stopping.py
@@ -1,7 +1,6 @@
 """Tests of the planned stop of a node, with real sockets and a short grace period."""
 
 import logging
-import socket
 
 import attrs
 import pytest
@@ -23,10 +22,16 @@
 from coltsfootspar.settings.fleet import FleetBounds, FleetNodeSettings
 from coltsfootspar.wire import Address
 
-HOST = "127.0.0.1"
+from .conftest import (
+    HOST,
+    TIMEOUT_SECONDS,
+    create_settings,
+    find_free_address,
+    send_and_read,
+)
+
 NAMES = HeaderNames()
 GRACE_SECONDS = 3.0
-TIMEOUT_SECONDS = 40
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
 
@@ -43,32 +48,6 @@
         return b""
 
 
-def find_free_port(kind=socket.SOCK_STREAM) -> int:
-    with socket.socket(type=kind) as sock:
-        sock.bind((HOST, 0))
-        return sock.getsockname()[1]
-
-
-def create_settings(grace_seconds: float) -> FleetNodeSettings:
-    return FleetNodeSettings(
-        id="n-1",
-        host=HOST,
-        region="r",
-        data_centre="a",
-        seeds=(Address(HOST, find_free_port()),),
-        shared_key="5f" * 16,
-        control=Address(HOST, find_free_port()),
-        peer_port=find_free_port(),
-        gossip_port=find_free_port(socket.SOCK_DGRAM),
-        metrics_port=find_free_port(),
-        bounds=FleetBounds(grace_seconds=grace_seconds),
-        service="wallet",
-        inbound=Address(HOST, find_free_port()),
-        outbound=Address(HOST, find_free_port()),
-        ready=Address(HOST, find_free_port()),
-    )
-
-
 def create_route(name: str, timeout: float, repetition: Repetition) -> Route:
     return Route(
         name=name,
@@ -136,7 +115,7 @@
         )
         other = create_backend_server(NAMES, lambda: None)
         other.apply_report(report)
-        address = Address(HOST, find_free_port())
+        address = find_free_address()
         server = create_relay_server(CallReceiver(other, NAMES).handle)
         await self.nursery.start(server.serve, address)
         self.nursery.start_soon(self._run)
@@ -205,23 +184,17 @@
     return head.encode() + body
 
 
-async def send_and_read(stream: trio.SocketStream, data: bytes) -> bytes:
-    """Sends bytes and returns all received bytes until the connection ends."""
-    received = b""
-    with trio.fail_after(TIMEOUT_SECONDS):
-        try:
-            await stream.send_all(data)
-            while chunk := await stream.receive_some():
-                received += chunk
-        except trio.BrokenResourceError:
-            pass
-        await stream.aclose()
-    return received
-
-
 @pytest.fixture
 async def stopping(tmp_path):
-    settings = create_settings(GRACE_SECONDS)
+    settings = create_settings(
+        FleetNodeSettings,
+        id="n-1",
+        bounds=FleetBounds(grace_seconds=GRACE_SECONDS),
+        service="wallet",
+        inbound=find_free_address(),
+        outbound=find_free_address(),
+        ready=find_free_address(),
+    )
     file = SettingsFile(
         str(tmp_path / "settings"), settings, load=lambda path: settings, modified_ns=0
     )
--- a/src/coltsfootspar/relay/tests/test_reused_connections.py
+++ b/src/coltsfootspar/relay/tests/test_reused_connections.py
@@ -258,18 +258,27 @@
     assert response.startswith(b"HTTP/1.1 502")
 
 
-async def test_success_with_the_mark_is_not_sent_again(harness):
-    """Guards against a success that is taken for a refusal, so that it runs twice."""
-    answer = (
-        b"HTTP/1.1 200 OK\r\nECHO\r\n%s: 1\r\nContent-Length: 2\r\n\r\nok"
-        % NAMES.not_run
-    )
+async def ask_one_of_two(harness, answer: bytes):
+    """Sends one request to two servers that give the same answer.
+
+    :returns: the servers and the response.
+    """
     servers = [await harness.add_server(create_late_script(answer)) for _ in range(2)]
     for index, server in enumerate(servers):
         await harness.add_node(f"n{index}", server.address)
     use_once_route(harness)
     _, _, entry = await harness.add_entry_node()
     response = await send_and_read(entry, encode_post_with_id("r1"))
+    return servers, response
+
+
+async def test_success_with_the_mark_is_not_sent_again(harness):
+    """Guards against a success that is taken for a refusal, so that it runs twice."""
+    answer = (
+        b"HTTP/1.1 200 OK\r\nECHO\r\n%s: 1\r\nContent-Length: 2\r\n\r\nok"
+        % NAMES.not_run
+    )
+    servers, response = await ask_one_of_two(harness, answer)
     assert response.startswith(b"HTTP/1.1 200")
     assert sum(len(server.heads) for server in servers) == 1
 
@@ -302,12 +311,7 @@
         b"HTTP/1.1 500 No\r\nECHO\r\nColtsfootspar-Outcome: not-run\r\n"
         b"Coltsfootspar-Error: leaving\r\nContent-Length: 2\r\n\r\nno"
     )
-    servers = [await harness.add_server(create_late_script(answer)) for _ in range(2)]
-    for index, server in enumerate(servers):
-        await harness.add_node(f"n{index}", server.address)
-    use_once_route(harness)
-    _, _, entry = await harness.add_entry_node()
-    response = await send_and_read(entry, encode_post_with_id("r1"))
+    servers, response = await ask_one_of_two(harness, answer)
     assert response.startswith(b"HTTP/1.1 500")
     assert sum(len(server.heads) for server in servers) == 1
 
--- a/src/coltsfootspar/relay/tests/test_server.py
+++ b/src/coltsfootspar/relay/tests/test_server.py
@@ -24,6 +24,11 @@
     return server, address
 
 
+async def collect_answer(answers: list[bytes], address: Address) -> None:
+    """Sends a request and appends what comes back."""
+    answers.append(await send_and_read(address, b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"))
+
+
 async def echo(exchange):
     await exchange.buffer_body(1 << 20)
     await exchange.answer(200, [], exchange.request.take_body())
@@ -127,14 +132,8 @@
 
     server, address = await start_server(harness, wait)
     answers = []
-
-    async def call():
-        answers.append(
-            await send_and_read(address, b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
-        )
-
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(call)
+        nursery.start_soon(collect_answer, answers, address)
         await started.wait()
         nursery.start_soon(server.drain)
         await trio.lowlevel.checkpoint()
@@ -193,14 +192,8 @@
 
     server, address = await start_server(harness, wait)
     answers = []
-
-    async def call():
-        answers.append(
-            await send_and_read(address, b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
-        )
-
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(call)
+        nursery.start_soon(collect_answer, answers, address)
         await started.wait()
         server.is_draining = True
         await server.expire_in_flight()
@@ -224,14 +217,8 @@
     server, address = await start_server(harness, stream)
     server.is_draining = True
     answers = []
-
-    async def call():
-        answers.append(
-            await send_and_read(address, b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
-        )
-
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(call)
+        nursery.start_soon(collect_answer, answers, address)
         await started.wait()
         await server.expire_in_flight()
         release.set()
