--- a/review/1/case.py
+++ b/review/1/case.py
@@ -40,7 +40,7 @@
 # Length of a quick succession, and the pause after it.
 STORM_S = 2.0
 STORM_PAUSE_S = 0.5
-CHANGING_S = 75.0
+CHANGING_S = 70.0
 # The operator reads for longer than the recovery time.
 READING_S = 20.0
 MEMORY_CHECK_S = 0.02
