--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,116 +1,93 @@
-"""A node stops serving while nobody reads its standard output.
+"""A core machine is replaced as planned, and another one loses its disk afterwards.
 
-The collector of the logs pauses for some seconds. Meanwhile the node answers requests
-of two kinds: some on routes that never existed, which it logs, and some that a sound
-backend server beside another node runs.
+The empty successor starts first. Once it has had its time to catch up, the machine with
+the leader is stopped for good. Some time after its end, another core machine loses
+power and its disk right after it has acknowledged a change, and comes back. At the end
+the operator reads the manifest.
 """
 
 import asyncio
+import json
 import pathlib
+import re
 import sys
+import time
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "common"))
 
-from deployment import Deployment, LogCollector, run_case  # noqa: E402
+from deployment import RESTART_DELAY_S, Deployment, run_case  # noqa: E402
 from standins import (  # noqa: E402
-    BackendServer,
-    Client,
+    call_control,
     create_manifest,
     put_manifest,
     wait_until_ready,
 )
 
-HOST = "hulo84.example"
-PROBES = 2
-PROBE_PAUSE_S = 0.03
-CLIENTS = 8
-CLIENT_PAUSE_S = 0.2
+ROUTES = [("hulo84.example", "/leny950/", "safe", "huvo11a")]
 SETTLING_S = 5.0
-COLLECTOR_PAUSE_S = 20.0
-# The timeout of the route, and how much later an answer may come.
-TIMEOUT_S = 5.0
-LATENESS_S = 0.5
+# Time that a new machine has to catch up; its predecessor is stopped after it.
+CATCH_UP_S = 4.0
+# Time from the end of the predecessor to the loss of the disk.
+LOSS_DELAY_S = 2.0
+READING_S = 30.0
 
 
 async def play(record, has_trouble):
-    deployment = Deployment(record, ["huvo11a", "wuno96b"])
-    caller, other = deployment.sides
-    caller.collector = LogCollector()
-    server = BackendServer(other, record, "i-00000001")
-    tasks, answers = [], []
+    deployment = Deployment(record, ["huvo11a"])
     try:
         await deployment.start()
-        routes = [(HOST, "/puka111/", "safe", "wuno96b")]
-        await put_manifest(deployment, create_manifest(2, 0, routes))
-        await server.start()
+        await put_manifest(deployment, create_manifest(2, 0, ROUTES))
         await wait_until_ready(deployment.sides)
         await asyncio.sleep(SETTLING_S)
-        for number in range(PROBES):
-            tasks.append(asyncio.create_task(send_probes(number, caller, record)))
-        for number in range(CLIENTS):
-            client = send_requests(f"c{number}", caller, record, answers)
-            tasks.append(asyncio.create_task(client))
+        leader = find_leader(deployment)
+        record.add(f"{leader.name} leads")
+        successor = deployment.add_core(1)
+        await successor.start()
+        await asyncio.sleep(CATCH_UP_S)
+        deployment.cores.remove(leader)
+        await leader.terminate()
+        await asyncio.sleep(LOSS_DELAY_S)
+        acknowledging = await put_manifest(deployment, create_manifest(3, 2, ROUTES))
         if has_trouble:
-            record.add(f"the logs of {caller.name} are not read any more")
-            caller.collector.pause()
-        await asyncio.sleep(COLLECTOR_PAUSE_S)
-        return find_unanswered(record, answers)
+            await lose_disk(acknowledging)
+        return await read_back(deployment, 3)
     finally:
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
-        await server.stop()
         await deployment.stop()
 
 
-async def send_probes(number, machine, record):
-    """Sends requests on routes that never existed; the node answers them with 404."""
-    client = Client(machine, record)
-    count = 0
-    try:
-        while True:
-            count += 1
-            await client.send(f"p{number}-{count}", HOST, f"/none{count}/")
-            await asyncio.sleep(PROBE_PAUSE_S)
-    finally:
-        client.close()
+def find_leader(deployment):
+    """Returns the machine whose log tells last that it leads."""
+    terms = {
+        max(map(int, re.findall(r"leads in (\d+)", machine.read_log())), default=0): (
+            machine
+        )
+        for machine in deployment.cores
+    }
+    return terms[max(terms)]
 
 
-async def send_requests(name, machine, record, answers):
-    """Sends requests and notes how long each took, and whether it was answered."""
-    client = Client(machine, record)
-    number = 0
-    try:
-        while True:
-            number += 1
-            request_id = f"{name}-{number}"
-            started_at = record.now()
-            answer = await client.send(request_id, HOST, f"/puka111/{request_id}")
-            answers.append((request_id, answer.status, record.now() - started_at))
-            await asyncio.sleep(CLIENT_PAUSE_S)
-    finally:
-        client.close()
+async def lose_disk(machine):
+    await machine.kill()
+    machine.wipe_disk()
+    await asyncio.sleep(RESTART_DELAY_S)
+    await machine.start()
 
 
-def find_unanswered(record, answers):
-    """Compares the requests that were open at the timeout with those that stay so."""
-    open_at_timeout = [entry for entry in answers if entry[2] >= TIMEOUT_S]
-    unanswered = [
-        request_id
-        for request_id, status, seconds in open_at_timeout
-        if not status or seconds > TIMEOUT_S + LATENESS_S
-    ]
-    record.add(
-        f"{len(answers)} requests, {len(open_at_timeout)} open at the timeout, "
-        f"{len(unanswered)} of these later, too"
-    )
-    if not open_at_timeout or len(unanswered) * 2 <= len(open_at_timeout):
-        return []
+async def read_back(deployment, version):
+    """Reads the manifest until it comes; returns the problems."""
+    record = deployment.record
+    ends_at = time.monotonic() + READING_S
+    while time.monotonic() < ends_at:
+        for core in deployment.cores:
+            status, body = await call_control(core, "config.get", {}, patience_s=2.0)
+            record.add(f"manifest read from {core.name}: {status}")
+            if status == 200 and json.loads(body)["version"] == f"r{version}":
+                return []
+        await asyncio.sleep(0.5)
     return [
-        f"CONFIG: of {len(open_at_timeout)} requests that were unanswered at their "
-        f"route's timeout of {TIMEOUT_S:g} s, {len(unanswered)} had no answer "
-        f"{LATENESS_S:g} s later: {', '.join(unanswered[:8])}"
+        f"CONFIG: r{version} was acknowledged and doesn't come back within "
+        f"{READING_S:g} s"
     ]
 
 
--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -79,32 +79,6 @@
         self._path.write_text("\n".join(self._lines) + "\n")
 
 
-class LogCollector:
-    """Reads the standard output of a process through a pipe, and may pause."""
-
-    def __init__(self):
-        self.collected_bytes = 0
-        self._descriptor = None
-
-    def open(self):
-        """Returns the end of the pipe for the process."""
-        self._descriptor, write_end = os.pipe()
-        self.resume()
-        return os.fdopen(write_end, "wb")
-
-    def pause(self):
-        asyncio.get_running_loop().remove_reader(self._descriptor)
-
-    def resume(self):
-        asyncio.get_running_loop().add_reader(self._descriptor, self._read)
-
-    def _read(self):
-        data = os.read(self._descriptor, 65_536)
-        self.collected_bytes += len(data)
-        if not data:
-            self.pause()
-
-
 class Machine:
     """A loopback address with one process of the system.
 
@@ -124,8 +98,6 @@
         self.started_at = 0.0
         self.own_ends = []
         self.is_kept_up = True
-        # Reads the standard output through a pipe; None writes it to a file.
-        self.collector = None
         self._watcher = None
 
     @property
@@ -148,7 +120,7 @@
         environment["PYTHONDONTWRITEBYTECODE"] = "1"
         environment["COLTSFOOTSPAR_SETTINGS"] = str(path)
         command = self.deployment.roles[self.role]["run"].split()
-        with self._open_log() as log:
+        with self._log_path.open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
                 *command, cwd=ROOT, env=environment, stdout=log, stderr=log
             )
@@ -203,11 +175,6 @@
         found = re.search(r"VmRSS:\s+(\d+) kB", status)
         return int(found.group(1)) / 1024 if found else 0.0
 
-    def _open_log(self):
-        if self.collector is not None:
-            return self.collector.open()
-        return self._log_path.open("ab")
-
     def read_log(self):
         return self._log_path.read_text(errors="replace")
 
