--- a/src/coltsfootspar/fleet/control.py
+++ b/src/coltsfootspar/fleet/control.py
@@ -6,7 +6,11 @@
 import attrs
 import orjson
 
-from coltsfootspar.exceptions import MalformedRequestError, NoQuorumError
+from coltsfootspar.exceptions import (
+    MalformedRequestError,
+    NoQuorumError,
+    ReplicationError,
+)
 from coltsfootspar.fleet.interfaces import (
     BackendDeparture,
     ControlRequest,
@@ -17,11 +21,13 @@
 from coltsfootspar.logs import log_decision
 from coltsfootspar.relay import BackendReport, BackendServer, Exchange
 from coltsfootspar.replication import ChangeStatus, ReplaceRoutes, ReplicationClient
+from coltsfootspar.replication.commands import MAX_COMMAND_BYTES
 from coltsfootspar.routes import check_routes, encode_routes
 
 __all__ = ["ControlHandler", "NodeControl", "ReplicaControl", "create_control_handler"]
 
-_MAX_BODY_BYTES = 32 << 20
+# A replica stores the fields of a route table beside the document itself.
+_MAX_BODY_BYTES = MAX_COMMAND_BYTES // 2
 PROPOSAL_TIMEOUT_SECONDS = 2.5
 READ_TIMEOUT_SECONDS = 1.5
 _JSON_HEADERS = [(b"Content-Type", b"application/json")]
@@ -55,6 +61,10 @@
         await exchange.buffer_body(_MAX_BODY_BYTES)
         request = exchange.request
         target = request.target.decode("latin-1")
+        if not request.is_complete:
+            log_decision("control-too-large", target=target)
+            await self._answer(exchange, create_error_response(413, "body too large"))
+            return
         try:
             decoded = self._adapter.decode_control(target, request.take_body())
         except MalformedRequestError as error:
@@ -66,6 +76,9 @@
                 response = create_error_response(404, "unknown control request")
             else:
                 response = await self._serve(decoded)
+        await self._answer(exchange, response)
+
+    async def _answer(self, exchange: Exchange, response: ControlResponse) -> None:
         await exchange.answer(response.status, _JSON_HEADERS, response.body)
 
     async def _respond_stopping(self, exchange: Exchange) -> None:
@@ -131,6 +144,10 @@
         except NoQuorumError as error:
             log_decision("no-quorum", error=str(error))
             return create_error_response(503, str(error))
+        except ReplicationError as error:
+            log_decision("change-refused", error=str(error))
+            status = 413 if error.code == "command-size" else 503
+            return create_error_response(status, str(error))
         return create_error_response(404, "request is served by the nodes")
 
     async def _replace_routes(self, change: RouteChange) -> ControlResponse:
--- a/src/coltsfootspar/replication/core.py
+++ b/src/coltsfootspar/replication/core.py
@@ -38,16 +38,18 @@
 class ReplicaOptions:
     """Timeouts of a replica and the thresholds for its snapshots.
 
-    A snapshot needs both enough entries and enough bytes of log since the last
-    one. The size condition keeps a large state from being rewritten for every
-    thousand small entries.
+    A snapshot is due after many entries or after many bytes of entries, whichever
+    comes first, so that the log stays short however large its entries are. In
+    either case the entries must also have a size in proportion to the last
+    snapshot, which keeps a large state from being rewritten for every few of them.
 
     :param heartbeat_interval: time between two requests of the leader to a
         follower when there are no new entries, seconds.
     :param min_election_timeout: shortest election timeout, seconds.
     :param max_election_timeout: longest election timeout, seconds.
-    :param snapshot_entries: least number of entries applied since the last
-        snapshot.
+    :param snapshot_entries: number of entries applied since the last snapshot
+        after which one is due.
+    :param snapshot_log_bytes: size of these entries after which one is due.
     :param snapshot_log_ratio: least size of these entries relative to the size
         of the last snapshot.
     """
@@ -56,6 +58,7 @@
     min_election_timeout: float = 1.0
     max_election_timeout: float = 2.0
     snapshot_entries: int = 1_000
+    snapshot_log_bytes: int = 8 << 20
     snapshot_log_ratio: float = 0.5
 
 
@@ -336,9 +339,11 @@
         options = self.options
         entry_count = self.state.index - self.snapshots.index
         min_bytes = options.snapshot_log_ratio * self.snapshots.size
-        return (
-            entry_count >= options.snapshot_entries and self.applied_bytes >= min_bytes
+        is_long = (
+            entry_count >= options.snapshot_entries
+            or self.applied_bytes >= options.snapshot_log_bytes
         )
+        return is_long and self.applied_bytes >= min_bytes
 
     def _apply(self, entry: Entry) -> None:
         command, result = self.state.apply(entry)
--- a/src/coltsfootspar/replication/interfaces.py
+++ b/src/coltsfootspar/replication/interfaces.py
@@ -20,6 +20,15 @@
     async def read(self, name: str) -> bytes:
         """Reads a whole file."""
 
+    async def read_range(
+        self, name: str, offset: int, size: int | None = None
+    ) -> bytes:
+        """Reads a part of a file; the result is shorter at the end of the file.
+
+        :param offset: position of the first byte.
+        :param size: largest number of bytes; None for all to the end.
+        """
+
     async def append(self, name: str, data: bytes) -> None:
         """Appends to a file and creates it when it is missing.
 
--- a/src/coltsfootspar/replication/leadership.py
+++ b/src/coltsfootspar/replication/leadership.py
@@ -35,6 +35,7 @@
 _MAX_BATCH_BYTES = 256 << 10
 _SNAPSHOT_CHUNK_BYTES = 256 << 10
 _MAX_PENDING_PROPOSALS = 4_096
+_MAX_UNAPPLIED_BYTES = 32 << 20
 _REQUEST_TIMEOUT_SECONDS = 0.5
 _MAX_REQUEST_TIMEOUT_SECONDS = 4.0
 _MS_PER_SECOND = 1_000
@@ -80,6 +81,9 @@
     :param _admissions: index and incarnation of each replica's admission that is
         in the log but not yet applied.
     :param requests_sent: requests sent to the other replicas in this term.
+    :param _unapplied_sizes: size in bytes of each entry of this term that is not yet
+        applied, by index.
+    :param _unapplied_bytes: sum of these sizes.
     """
 
     term: int
@@ -89,6 +93,8 @@
     _admissions: dict[str, tuple[int, int]]
     requests_sent: int = 0
     _proposals: dict[int, _Proposal] = attrs.field(factory=dict)
+    _unapplied_sizes: dict[int, int] = attrs.field(factory=dict)
+    _unapplied_bytes: int = 0
     _scope: trio.CancelScope = attrs.field(factory=trio.CancelScope)
 
     async def run(self) -> None:
@@ -131,6 +137,10 @@
             raise NotLeaderError("the term as leader is over", leader_id=core.leader_id)
         if len(self._proposals) >= _MAX_PENDING_PROPOSALS:
             raise NoQuorumError("too many proposals are pending", may_have_run=False)
+        if self._unapplied_bytes >= _MAX_UNAPPLIED_BYTES:
+            raise NoQuorumError(
+                "the pending proposals are too large", may_have_run=False
+            )
         proposal = _Proposal()
         index = self._append(command, proposal)
         try:
@@ -155,6 +165,7 @@
 
     def complete_proposal(self, index: int, result: Result) -> None:
         """Passes the result of an applied entry to the task that proposed it."""
+        self._unapplied_bytes -= self._unapplied_sizes.pop(index, 0)
         proposal = self._proposals.get(index)
         if proposal is not None:
             proposal.result = result
@@ -188,6 +199,8 @@
         time_ms = max(core.state.time_ms, int(core.clock() * _MS_PER_SECOND))
         if proposal is not None:
             self._proposals[index] = proposal
+        self._unapplied_sizes[index] = len(data)
+        self._unapplied_bytes += len(data)
         core.log.append([Entry(index, self.term, time_ms, data)])
         for peer in self._peers.values():
             peer.new_entries.set()
--- a/src/coltsfootspar/replication/localdisk.py
+++ b/src/coltsfootspar/replication/localdisk.py
@@ -38,6 +38,12 @@
         """Reads a whole file."""
         return await self._run(self._path(name).read_bytes)
 
+    async def read_range(
+        self, name: str, offset: int, size: int | None = None
+    ) -> bytes:
+        """Reads a part of a file; the result is shorter at the end of the file."""
+        return await self._run(self._read_range, name, offset, size)
+
     async def append(self, name: str, data: bytes) -> None:
         """Appends to a file and creates it when it is missing."""
         await self._run(self._append, name, data)
@@ -87,6 +93,13 @@
             )
         return self._descriptors[name]
 
+    def _read_range(self, name: str, offset: int, size: int | None) -> bytes:
+        with self._path(name).open("rb") as file:
+            rest = max(0, os.fstat(file.fileno()).st_size - offset)
+            file.seek(offset)
+            # A read allocates the whole size, which may come from a damaged record.
+            return file.read(rest if size is None else min(size, rest))
+
     def _append(self, name: str, data: bytes) -> None:
         descriptor = self._open(name)
         remaining = memoryview(data)
--- a/src/coltsfootspar/replication/log.py
+++ b/src/coltsfootspar/replication/log.py
@@ -13,7 +13,7 @@
     create_corrupt_log_error,
     encode_file_header,
     encode_record,
-    parse_records,
+    open_records,
 )
 from coltsfootspar.wire import replication as codec
 
@@ -383,12 +383,10 @@
 async def _load_segment(
     disk: Disk, name: str, loader: _EntryLoader, *, is_last: bool
 ) -> _Segment:
-    data = await disk.read(name)
-    content = parse_records(name, data, may_be_torn=is_last)
-    if content.valid_bytes < len(data):
-        await disk.truncate(name, content.valid_bytes)
-    segment = _Segment(name, content.salt)
-    for payload, offset in zip(content.payloads, content.offsets, strict=True):
+    reader = await open_records(disk, name, may_be_torn=is_last)
+    segment = _Segment(name, reader.salt)
+    while (record := await reader.read_record()) is not None:
+        payload, offset = record
         try:
             entries = codec.decode_entries(payload)
         except FrameError as error:
@@ -396,4 +394,6 @@
         for entry in entries:
             loader.add(entry, name, offset)
             segment.last_index = max(segment.last_index, entry.index)
+    if reader.is_torn:
+        await disk.truncate(name, reader.valid_bytes)
     return segment
--- a/src/coltsfootspar/testing/disks.py
+++ b/src/coltsfootspar/testing/disks.py
@@ -54,6 +54,14 @@
         await self._begin()
         return bytes(self._get_file(name).data)
 
+    async def read_range(
+        self, name: str, offset: int, size: int | None = None
+    ) -> bytes:
+        """Reads a part of a file; the result is shorter at the end of the file."""
+        await self._begin()
+        end = None if size is None else offset + size
+        return bytes(self._get_file(name).data[offset:end])
+
     async def append(self, name: str, data: bytes) -> None:
         """Writes at the end of a file, which is created when missing."""
         await self._begin()
