--- a/src/coltsfootspar/replication/core.py
+++ b/src/coltsfootspar/replication/core.py
@@ -58,7 +58,7 @@
     min_election_timeout: float = 1.0
     max_election_timeout: float = 2.0
     snapshot_entries: int = 1_000
-    snapshot_log_bytes: int = 8 << 20
+    snapshot_log_bytes: int = 2 << 20
     snapshot_log_ratio: float = 0.5
 
 
--- a/src/coltsfootspar/replication/tests/test_large_entries.py
+++ b/src/coltsfootspar/replication/tests/test_large_entries.py
@@ -52,6 +52,31 @@
         assert (await client.read_routes()).version == CHANGES
 
 
+async def test_new_disk_counts_after_few_large_entries(autojump_clock):
+    """Guards against a second lost disk while the first one is still catching up.
+
+    A new disk got every change since the start of the cluster. Changes came half as
+    fast as it took them, so it needed half a minute, in which it had no vote.
+    """
+    async with open_cluster() as cluster:
+        client = cluster.create_client()
+        for version in range(1, CHANGES + 1):
+            await client.replace_routes(create_change(version))
+        lost = next(n for n in cluster.replica_ids if n != cluster.find_leader())
+        await cluster.replace_disk(lost)
+        core = cluster.replicas[lost].core
+        version = CHANGES
+        while not core.identity.is_admitted:
+            version += 1
+            await client.replace_routes(create_change(version))
+        entries = core.state.index - core.snapshots.index
+        assert core.snapshots.index > 0
+        assert entries * TABLE_BYTES <= 4 * MB
+        second = next(n for n in cluster.replica_ids if n != lost)
+        await cluster.replace_disk(second)
+        assert (await client.read_routes()).version == version
+
+
 async def test_reading_a_log_takes_little_more_memory_than_its_entries(tmp_path):
     disk = open_disk(tmp_path / "data")
     log = await open_log(disk, 0, 0)
