--- a/src/coltsfootspar/fleet/control.py
+++ b/src/coltsfootspar/fleet/control.py
@@ -11,6 +11,7 @@
     NoQuorumError,
     ReplicationError,
 )
+from coltsfootspar.fleet.departures import DepartureRecorder
 from coltsfootspar.fleet.interfaces import (
     BackendDeparture,
     ControlRequest,
@@ -105,6 +106,7 @@
 
     _backend: BackendServer
     _service: str
+    _departures: DepartureRecorder
 
     async def serve(self, request: ControlRequest) -> ControlResponse:
         """Serves one request."""
@@ -118,13 +120,28 @@
                         expected=self._service,
                     )
                     return create_error_response(422, "report is for another service")
-                self._backend.apply_report(request)
-                return ControlResponse(200)
+                return await self._apply_report(request)
             case BackendDeparture():
-                self._backend.apply_departure(request.instance_id, request.started_ms)
+                await self._apply_departure(request)
                 return ControlResponse(200)
         return create_error_response(404, "request is served by the replicas")
 
+    async def _apply_report(self, report: BackendReport) -> ControlResponse:
+        if report.is_leaving:
+            self._backend.apply_report(report)
+            await self._departures.record_leaving(report)
+        elif await self._departures.wait_recovered():
+            self._backend.apply_report(report)
+        else:
+            return create_error_response(503, "the node is starting")
+        return ControlResponse(200)
+
+    async def _apply_departure(self, departure: BackendDeparture) -> None:
+        instance_id = departure.instance_id
+        started_ms = self._backend.apply_departure(instance_id, departure.started_ms)
+        if started_ms is not None:
+            await self._departures.record_departure(instance_id, started_ms)
+
 
 @attrs.define(eq=False)
 class ReplicaControl:
--- a/src/coltsfootspar/fleet/node.py
+++ b/src/coltsfootspar/fleet/node.py
@@ -19,6 +19,10 @@
     wait_for_stop_signal,
 )
 from coltsfootspar.fleet.control import NodeControl, create_control_handler
+from coltsfootspar.fleet.departures import (
+    DepartureRecorder,
+    create_departure_recorder,
+)
 from coltsfootspar.fleet.interfaces import ProtocolAdapter
 from coltsfootspar.fleet.metrics import FleetMetrics, create_fleet_metrics
 from coltsfootspar.fleet.reloading import SettingsFile
@@ -126,6 +130,7 @@
     inbound: RelayServer
     receiver: CallReceiver
     notifier: CrashNotifier
+    departures: DepartureRecorder
     control: RelayServer
     ready: RelayServer
     metrics: RelayServer
@@ -157,6 +162,7 @@
             nursery.start_soon(self.routes.follow, self.client)
             nursery.start_soon(self._run_maintenance)
             nursery.start_soon(self.notifier.run, self.timers)
+            nursery.start_soon(self.departures.run)
             nursery.start_soon(self.settings_file.poll, self.timers)
             await nursery.start(self.control.serve, settings.control)
             await nursery.start(self.inbound.serve, settings.inbound)
@@ -348,8 +354,9 @@
         lambda: backend.report.service if backend.report is not None else "",
         source,
     )
+    departures = create_departure_recorder(settings.id, client, backend)
     control = create_control_handler(
-        adapter, NodeControl(backend, settings.service).serve
+        adapter, NodeControl(backend, settings.service, departures).serve
     )
     node = FleetNode(
         settings_file=settings_file,
@@ -365,6 +372,7 @@
         inbound=create_relay_server(create_peer_handler(receiver.handle, notifier)),
         receiver=receiver,
         notifier=notifier,
+        departures=departures,
         control=create_relay_server(control.handle),
         ready=create_relay_server(lambda exchange: node.handle_readiness(exchange)),
         metrics=create_relay_server(create_metrics_handler(fleet_metrics.render)),
--- a/src/coltsfootspar/relay/backend.py
+++ b/src/coltsfootspar/relay/backend.py
@@ -173,11 +173,27 @@
             )
             self._publish_change()
 
-    def apply_departure(self, instance_id: str, started_ms: int = 0) -> None:
+    def restore_leaving(self, order: tuple[int, int]) -> None:
+        """Ignores reports up to the one by which a backend server began to leave.
+
+        :param order: :attr:`BackendReport.order` of that report.
+        """
+        self._newest_order = max(self._newest_order, order)
+
+    def restore_departure(self, instance_id: str, started_ms: int) -> None:
+        """Ignores reports of a start that departed before the node started.
+
+        :param started_ms: Unix time of that start, milliseconds.
+        """
+        known_start = self._departed_starts.get(instance_id, started_ms)
+        self._departed_starts[instance_id] = max(known_start, started_ms)
+
+    def apply_departure(self, instance_id: str, started_ms: int = 0) -> int | None:
         """Stops sending new work to a backend server that has deregistered.
 
         :param started_ms: Unix time of its start, milliseconds; 0 when unknown, which
             means the latest known start.
+        :returns: the start that has departed, None when the notice is ignored.
         """
         report = self._last_report
         is_known = report is not None and report.instance_id == instance_id
@@ -189,7 +205,7 @@
                 started=started_ms,
                 known=known_start,
             )
-            return
+            return None
         # The departure may have overtaken the first report of its start.
         departed_start = max(started_ms, known_start)
         self._departed_starts[instance_id] = departed_start
@@ -197,11 +213,12 @@
             log_decision(
                 "departure-noted", instance=instance_id, started=departed_start
             )
-            return
+            return departed_start
         log_decision("backend-departed", instance=instance_id)
         if self.report is not None:
             self.report = attrs.evolve(report, is_leaving=True)
             self._publish_change()
+        return departed_start
 
     def expire_stale(self, now: float) -> None:
         """Closes idle connections and drops a backend server whose report is overdue.
--- a/src/coltsfootspar/replication/client.py
+++ b/src/coltsfootspar/replication/client.py
@@ -30,7 +30,9 @@
 )
 from coltsfootspar.replication.interfaces import ReplicaLink
 from coltsfootspar.replication.messages import (
+    Departure,
     HistoryReply,
+    NoteDeparturesRequest,
     ProposeReply,
     ProposeStatus,
     ReplicaStatus,
@@ -41,6 +43,7 @@
 from coltsfootspar.wire import FrameKind, Message, replication as codec
 
 __all__ = [
+    "KnownDepartures",
     "ReplicationClient",
     "create_id",
     "create_replication_client",
@@ -245,6 +248,37 @@
                 position += 1
                 await self._back_off()
 
+    async def note_departures(
+        self, node_id: str, departures: Sequence[Departure], timeout: float
+    ) -> "KnownDepartures":
+        """Asks all replicas to keep departures, and for those that they keep.
+
+        Needs no leader. Returns once a majority has replied, or after the timeout.
+
+        :param node_id: node beside the backend servers.
+        :param departures: may be empty, to read only.
+        """
+        request = NoteDeparturesRequest(node_id, tuple(departures))
+        message = codec.encode_note_departures(request)
+        replies: list[tuple[Departure, ...]] = []
+        majority = len(self._replica_ids) // 2 + 1
+
+        async def note(replica_id: str, scope: trio.CancelScope) -> None:
+            try:
+                reply = await self._request(replica_id, message, timeout)
+                replies.append(codec.decode_departures(reply))
+            except (LinkError, FrameError):
+                return
+            if len(replies) >= majority:
+                scope.cancel()
+
+        with trio.move_on_after(timeout) as scope:
+            async with trio.open_nursery() as nursery:
+                for replica_id in self._replica_ids:
+                    nursery.start_soon(note, replica_id, scope)
+        known = frozenset(departure for reply in replies for departure in reply)
+        return KnownDepartures(known, len(replies) >= majority)
+
     def _list_leader_first(self) -> list[str]:
         return sorted(self._replica_ids, key=lambda name: name != self._leader_id)
 
@@ -406,6 +440,17 @@
         return reply
 
 
+@attrs.frozen
+class KnownDepartures:
+    """Departures that replicas keep for a node.
+
+    :param is_majority: true when a majority of the replicas has replied.
+    """
+
+    departures: frozenset[Departure]
+    is_majority: bool
+
+
 @attrs.define(eq=False)
 class _Proposal:
     message: Message
--- a/src/coltsfootspar/replication/messages.py
+++ b/src/coltsfootspar/replication/messages.py
@@ -9,11 +9,13 @@
 __all__ = [
     "AppendReply",
     "AppendRequest",
+    "Departure",
     "HistoryReply",
     "InstallReply",
     "InstallRequest",
     "JoinReply",
     "JoinRequest",
+    "NoteDeparturesRequest",
     "ProposeReply",
     "ProposeStatus",
     "ReplicaStatus",
@@ -183,6 +185,38 @@
     index: int
 
 
+@attrs.frozen
+class Departure:
+    """A backend server that takes no new work, as its node has acknowledged.
+
+    :param started_ms: Unix time of its start, milliseconds.
+    :param sequence: sequence of the report that it leaves, 0 when it has
+        deregistered.
+    :param has_deregistered: true when no later report of this start counts.
+    """
+
+    instance_id: str
+    started_ms: int
+    sequence: int = 0
+    has_deregistered: bool = False
+
+    @property
+    def order(self) -> tuple[int, bool, int]:
+        """Sort key of the departures of one instance; the greatest one counts."""
+        return self.started_ms, self.has_deregistered, self.sequence
+
+
+@attrs.frozen
+class NoteDeparturesRequest:
+    """Asks a replica to keep departures, and for all that it keeps for a node.
+
+    :param node_id: node beside the backend servers.
+    """
+
+    node_id: str
+    departures: tuple[Departure, ...] = ()
+
+
 @attrs.frozen
 class HistoryReply:
     """Answers a request for the history.
--- a/src/coltsfootspar/replication/replica.py
+++ b/src/coltsfootspar/replication/replica.py
@@ -23,6 +23,7 @@
     Result,
 )
 from coltsfootspar.replication.core import ReplicaCore, ReplicaOptions
+from coltsfootspar.replication.departures import DepartureStore, load_departures
 from coltsfootspar.replication.election import (
     campaign,
     handle_pre_vote,
@@ -69,6 +70,7 @@
     _core: ReplicaCore
     _timers: TimerService
     _route_cache: RouteCache
+    _departures: DepartureStore
     _encoded_table: tuple[int, bytes] = (-1, b"")
 
     @property
@@ -300,6 +302,11 @@
         finally:
             self._core.release_claim_event(key, event)
 
+    async def _serve_note_departures(self, message: Message) -> Message:
+        request = codec.decode_note_departures(message)
+        known = await self._departures.note(request.node_id, request.departures)
+        return codec.encode_departures(known)
+
     async def _serve_status(self, message: Message) -> Message:
         return codec.encode_status(self.status())
 
@@ -320,6 +327,7 @@
     FrameKind.WATCH_ROUTES: Replica._serve_watch_routes,
     FrameKind.HISTORY: Replica._serve_history,
     FrameKind.LOOK_UP_CLAIM: Replica._serve_look_up,
+    FrameKind.NOTE_DEPARTURES: Replica._serve_note_departures,
     FrameKind.STATUS: Replica._serve_status,
 }
 
@@ -377,4 +385,6 @@
     log.on_synced = lambda: core.leader_term and core.leader_term.advance_commit_index()
     if identity.is_admitted:
         core.admitted.set()
-    return Replica(core, timers, await load_route_cache(disk))
+    return Replica(
+        core, timers, await load_route_cache(disk), await load_departures(disk)
+    )
--- a/src/coltsfootspar/wire/frames.py
+++ b/src/coltsfootspar/wire/frames.py
@@ -77,6 +77,8 @@
     ROUTES = 76
     JOIN = 77
     JOIN_REPLY = 78
+    NOTE_DEPARTURES = 79
+    DEPARTURES = 80
 
 
 class FrameFlag(enum.IntFlag):
--- a/src/coltsfootspar/wire/replication.capnp
+++ b/src/coltsfootspar/wire/replication.capnp
@@ -257,6 +257,22 @@
   waitMs @1 :UInt32;
 }
 
+struct Departure {
+  instanceId @0 :Text;
+  startedMs @1 :UInt64;
+  sequence @2 :UInt64;
+  hasDeregistered @3 :Bool;
+}
+
+struct NoteDepartures {
+  nodeId @0 :Text;
+  departures @1 :List(Departure);
+}
+
+struct Departures {
+  departures @0 :List(Departure);
+}
+
 struct StatusReply {
   replicaId @0 :Text;
   role @1 :Text;
