--- a/src/coltsfootspar/fleet/offers.py
+++ b/src/coltsfootspar/fleet/offers.py
@@ -1,5 +1,7 @@
 """Offers of seats to hosts that join with an empty disk, and the saved seat map."""
 
+from collections.abc import Callable
+
 import attrs
 import trio
 
@@ -17,6 +19,10 @@
 VACANCY_TIMEOUT_SECONDS = 2.0
 # An offer expires after this time unless the host has been admitted.
 OFFER_LIFETIME_SECONDS = 4.0
+# A host that leaves repeats that it does so more often than this.
+LEAVING_LIFETIME_SECONDS = 1.0
+# A host without a seat asks for one more often than this.
+JOINING_LIFETIME_SECONDS = 2.0
 
 
 async def load_seats(seats: SeatMap, disk: Disk) -> None:
@@ -36,21 +42,31 @@
 
     Only an up-to-date leader makes offers. An offer is kept in memory and grants no
     vote.
+
+    :param on_offer: called with a seat when it is offered to another host.
+    :param _leaving: trio clock until which the holder of a seat counts as leaving,
+        seconds, by seat.
+    :param _joining_until: trio clock until which a host without a seat counts as
+        waiting for one, seconds.
     """
 
     _map: SeatMap
     _replica: Replica
+    on_offer: Callable[[str], None] = lambda seat: None
     _offers: dict[str, tuple[str, float]] = attrs.field(factory=dict)
+    _leaving: dict[str, float] = attrs.field(factory=dict)
+    _joining_until: float = -float("inf")
 
     def handle_join(self, request: JoinRequest) -> JoinReply:
-        """Answers the join request of a host without a seat.
+        """Answers the request of a host that wants a seat, or leaves its own one.
 
         :returns: a reply that names the offered seat, or the leader to ask.
         """
         core = self._replica.core
         seat = ""
         if core.role is Role.LEADER and core.is_current:
-            seat = self._offer_seat(request)
+            serve = self._note_leaving if request.is_leaving else self._offer_seat
+            seat = serve(request)
         leader = core.leader_id or ""
         leader_address = self._map.addresses.get(leader, "")
         return JoinReply(seat, leader_address, core.state.seats, core.state.index)
@@ -67,16 +83,42 @@
 
     def _offer_seat(self, request: JoinRequest) -> str:
         now = trio.current_time()
-        seat = self._find_offered_seat(request.address, now) or self._map.find_seat(
-            request.address
-        )
+        own_seat = self._map.find_seat(request.address)
+        if not own_seat:
+            self._joining_until = now + JOINING_LIFETIME_SECONDS
+        seat = self._find_offered_seat(request.address, now) or own_seat
         seat = seat or self._find_vacant_seat(now)
         if seat and seat != self._replica.core.replica_id:
-            self._offers[seat] = (request.address, now + OFFER_LIFETIME_SECONDS)
-            log_decision("seat-offered", seat=seat, address=request.address)
+            self._offer(seat, request.address, now)
             return seat
         return ""
 
+    def _offer(self, seat: str, address: str, now: float) -> None:
+        offered_to, expires_at = self._offers.get(seat, ("", now))
+        has_moved = self.find_address(seat) != address
+        self._offers[seat] = (address, now + OFFER_LIFETIME_SECONDS)
+        if offered_to != address or expires_at <= now:
+            log_decision("seat-offered", seat=seat, address=address)
+        if has_moved:
+            self.on_offer(seat)
+
+    def _note_leaving(self, request: JoinRequest) -> str:
+        """Notes that the holder of a seat stops.
+
+        :returns: the seat, if another host takes it over; else an empty text.
+        """
+        now = trio.current_time()
+        seat = self._map.find_seat(request.address)
+        # The map may not hold the latest admissions yet.
+        holder = self._replica.core.state.seats.get(seat, request.address)
+        if not seat or holder != request.address:
+            return ""
+        if seat not in self._leaving:
+            log_decision("seat-left", seat=seat, address=request.address)
+        self._leaving[seat] = now + LEAVING_LIFETIME_SECONDS
+        is_offered = self.find_address(seat) != request.address
+        return seat if is_offered or now < self._joining_until else ""
+
     def _find_offered_seat(self, address: str, now: float) -> str:
         for seat, (offered_to, expires_at) in self._offers.items():
             if offered_to == address and expires_at > now:
@@ -92,7 +134,11 @@
             silent_seconds = now - core.leader_term.get_last_contact(seat)
             # The map may not hold the latest admissions yet.
             has_holder = self._map.addresses[seat] or core.state.seats.get(seat)
-            is_vacant = not has_holder or silent_seconds > VACANCY_TIMEOUT_SECONDS
+            is_vacant = (
+                not has_holder
+                or silent_seconds > VACANCY_TIMEOUT_SECONDS
+                or self._leaving.get(seat, now) > now
+            )
             if is_vacant and expires_at <= now:
                 return seat
         return ""
--- a/src/coltsfootspar/fleet/replica.py
+++ b/src/coltsfootspar/fleet/replica.py
@@ -68,6 +68,12 @@
 _LEADER_SILENCE_SECONDS = 2.5
 _RESTART_DELAY_SECONDS = 0.5
 _DRAIN_TIMEOUT_SECONDS = 3.0
+# Share of the grace period in which another host may take the seat over.
+_HANDOVER_SHARE = 0.7
+_HANDOVER_PERIOD_SECONDS = 0.2
+# Time in which a host without a seat asks the leader for one, and finds a new leader.
+_JOIN_PATIENCE_SECONDS = 0.9
+_NEW_LEADER_PATIENCE_SECONDS = 1.5
 # Short timeouts, since restarted nodes wait until a leader is elected.
 _REPLICA_OPTIONS = ReplicaOptions(
     heartbeat_interval=0.2, min_election_timeout=0.6, max_election_timeout=1.2
@@ -139,7 +145,10 @@
             await nursery.start(metrics.serve, address)
             logging.info("Replica process %s has started", settings.id)
             await wait_for_stop()
-            await self._stop_control()
+            self._is_stopping = True
+            async with trio.open_nursery() as stopping:
+                stopping.start_soon(self._stop_control)
+                stopping.start_soon(self._hand_over)
             await self.membership.depart()
             nursery.cancel_scope.cancel()
         logging.info("Replica process %s has stopped", settings.id)
@@ -147,12 +156,53 @@
 
     async def _stop_control(self) -> None:
         """Completes the requests of operators that have arrived, refuses all others."""
-        self._is_stopping = True
         self._control.cancel_incomplete()
         with trio.move_on_after(_DRAIN_TIMEOUT_SECONDS):
             await self._control.drain()
         await self._control.expire_in_flight()
 
+    async def _hand_over(self) -> None:
+        """Hands leadership and seat over to other hosts, if there are any to take them.
+
+        The replica goes on meanwhile, so that its seat has a vote at any time but for
+        the moment in which its successor is admitted.
+        """
+        replica = self._replica
+        if replica is None or not replica.core.identity.is_admitted:
+            return
+        grace_seconds = self.settings.bounds.grace_seconds
+        with trio.move_on_after(grace_seconds * _HANDOVER_SHARE):
+            was_leader = await replica.retire()
+            patience = (
+                _NEW_LEADER_PATIENCE_SECONDS if was_leader else _JOIN_PATIENCE_SECONDS
+            )
+            await self._hand_over_seat(replica, patience)
+
+    async def _hand_over_seat(self, replica: Replica, patience: float) -> None:
+        """Waits until the seat has another holder, or no host wants it.
+
+        :param patience: time for a host to ask for the seat, seconds.
+        """
+        seat = replica.core.replica_id
+        ends_at = trio.current_time() + patience
+        while trio.current_time() < ends_at:
+            reply = await self._request_seat(is_leaving=True)
+            if reply is not None and self._is_held_by_other(reply, replica):
+                logging.info("%s was handed over", seat)
+                self.membership.withdraw()
+                return
+            if reply is not None and reply.replica_id:
+                ends_at = trio.current_time() + patience
+            await trio.sleep(_HANDOVER_PERIOD_SECONDS)
+        logging.info("No host takes %s over", seat)
+
+    def _is_held_by_other(self, reply: JoinReply, replica: Replica) -> bool:
+        """Returns true when a reply shows that another host holds the seat."""
+        identity = replica.core.identity
+        holder = reply.seats.get(identity.replica_id, "")
+        is_up_to_date = reply.index >= max(identity.admitted_index, 1)
+        return is_up_to_date and bool(holder) and holder != str(self.address)
+
     def _read_core(self, name: str) -> float:
         return getattr(self._replica.core, name) if self._replica else 0
 
@@ -174,6 +224,8 @@
             self._control.handler = self._reject_control
             self._replica = None
             self.membership.withdraw()
+            if self._is_stopping:
+                return
             await trio.sleep(_RESTART_DELAY_SECONDS)
 
     async def _acquire_seat(self) -> str:
@@ -223,7 +275,7 @@
             client = create_replication_client(self.seats.names, links, self._random)
             self._serve_operators(client)
             while True:
-                reply = await self._request_seat()
+                reply = None if self._is_stopping else await self._request_seat()
                 if reply is not None and reply.replica_id:
                     nursery.cancel_scope.cancel()
                     break
@@ -239,14 +291,15 @@
             # Left over from the offer of another seat that expired before admission.
             await _remove_files(disk)
 
-    async def _request_seat(self) -> JoinReply | None:
+    async def _request_seat(self, *, is_leaving: bool = False) -> JoinReply | None:
         """Asks the known peers for a seat, and the leader that the first one names.
 
+        :param is_leaving: true to offer the own seat instead.
         :returns: an offer, else a reply of the leader, else None.
         """
         leader_reply = None
         for address in self._list_peer_addresses():
-            reply = await self._send_join(address)
+            reply = await self._send_join(address, is_leaving)
             if reply is None:
                 continue
             self.seats.update(reply.seats)
@@ -254,14 +307,16 @@
                 return reply
             if reply.leader_address and leader_reply is None:
                 leader_reply = await self._send_join(
-                    parse_address(reply.leader_address)
+                    parse_address(reply.leader_address), is_leaving
                 )
                 if leader_reply is not None and leader_reply.replica_id:
                     return leader_reply
         return leader_reply
 
-    async def _send_join(self, address: Address) -> JoinReply | None:
-        request = JoinRequest(str(self.address), self.settings.id)
+    async def _send_join(
+        self, address: Address, is_leaving: bool = False
+    ) -> JoinReply | None:
+        request = JoinRequest(str(self.address), self.settings.id, is_leaving)
         identity = create_fleet_identity(self.settings, self.settings.id, "client")
         message = codec.encode_join(request)
         reply_message = await send_single_request(
@@ -338,7 +393,7 @@
                 find_address=find_address_text,
                 options=_REPLICA_OPTIONS,
             )
-            offers.append(SeatOffers(self.seats, replica))
+            offers.append(SeatOffers(self.seats, replica, links.reconnect))
 
             async def handle_message(message: Message, peer: Peer) -> Message:
                 if message.kind is FrameKind.JOIN:
@@ -389,7 +444,7 @@
         async for now in self.timers.subscribe(_WATCH_PERIOD_SECONDS):
             if self.seats.update(core.state.seats):
                 await save_seats(self.seats, disk)
-            if core.identity.is_admitted:
+            if core.identity.is_admitted and not self._is_stopping:
                 self.membership.announce(SEAT_SERVICE_PREFIX + seat, 1, 0.0)
             last_contact = max(
                 core.last_leader_contact, core.last_caught_up, last_check
@@ -409,10 +464,8 @@
             if reply is None:
                 continue
             self.seats.update(reply.seats)
-            holder = reply.seats.get(seat, "")
-            is_up_to_date = reply.index >= max(core.identity.admitted_index, 1)
             if core.identity.is_admitted:
-                if is_up_to_date and holder and holder != str(self.address):
+                if self._is_held_by_other(reply, replica):
                     raise _SeatLostError
             elif reply.replica_id and reply.replica_id != seat:
                 raise _SeatLostError
--- a/src/coltsfootspar/fleet/tests/test_cluster.py
+++ b/src/coltsfootspar/fleet/tests/test_cluster.py
@@ -55,6 +55,7 @@
     prefix: str
     host_losses: int = 1
     scopes: dict[int, trio.CancelScope] = attrs.field(factory=dict)
+    stop_requests: dict[int, trio.Event] = attrs.field(factory=dict)
     processes: dict[int, FleetReplica] = attrs.field(factory=dict)
     stopped_events: dict[int, trio.Event] = attrs.field(factory=dict)
 
@@ -84,6 +85,7 @@
             is_first_start=is_first,
         )
         self.stopped_events[number] = trio.Event()
+        self.stop_requests[number] = trio.Event()
         self.scopes[number] = trio.CancelScope()
         self.nursery.start_soon(self._run, number, settings)
 
@@ -106,7 +108,7 @@
                     source,
                 )
                 self.processes[number] = process
-                await process.run(trio.sleep_forever)
+                await process.run(self.stop_requests[number].wait)
         self.stopped_events[number].set()
 
     async def kill(self, number: int, *, wipe: bool = False) -> None:
@@ -120,6 +122,22 @@
         if wipe:
             shutil.rmtree(self.get_folder(number))
 
+    async def stop(self, number: int) -> None:
+        """Stops a process as planned."""
+        self.stop_requests[number].set()
+        with trio.fail_after(TIMEOUT_SECONDS):
+            await self.stopped_events[number].wait()
+        del self.processes[number]
+
+    def find_leader(self) -> int:
+        """Returns the host of the leader."""
+        return next(
+            number
+            for number, process in self.processes.items()
+            if process._replica is not None
+            and process._replica.core.leader_term is not None
+        )
+
     async def change_routes(self, version: int, base: int, digest: bytes = b"d"):
         """Replaces the routes through any replica."""
         table = RouteTable(version, base)
@@ -245,6 +263,57 @@
     assert await cluster.read_version() == 2
 
 
+@pytest.mark.parametrize("role", ["leader", "follower"])
+async def test_planned_stop_hands_the_seat_over(cluster, role):
+    """Guards against a seat that stays empty for seconds after a planned stop.
+
+    One more lost disk in this time left one replica with a vote, for good.
+    """
+    await form_cluster(cluster, 4)
+    spare = cluster.find_spare()
+    leader = cluster.find_leader()
+    holders = [number for number in (1, 2, 3, 4) if number != spare]
+    follower = next(number for number in holders if number != leader)
+    stopped = leader if role == "leader" else follower
+    seat = cluster.processes[stopped]._replica.core.replica_id
+    spare_address = str(cluster.processes[spare].address)
+    await cluster.stop(stopped)
+    # Committed before the process has ended.
+    core = cluster.processes[cluster.find_leader()]._replica.core
+    assert core.state.seats[seat] == spare_address
+    await cluster.wait_admitted(spare)
+    assert (await cluster.change_routes(2, 1)).status == "applied"
+    lost = next(number for number in holders if number != stopped)
+    await cluster.kill(lost, wipe=True)
+    await cluster.start(lost)
+    await cluster.wait_admitted(lost)
+    assert await cluster.read_version() == 2
+
+
+async def test_planned_stop_does_not_wait_for_a_host_that_is_not_there(cluster):
+    """Guards against a replica that is killed at the end of its grace time."""
+    await form_cluster(cluster, 3)
+    started_at = trio.current_time()
+    await cluster.stop(cluster.find_leader())
+    assert trio.current_time() - started_at < 4
+    assert (await cluster.change_routes(2, 1)).status == "applied"
+
+
+async def test_host_that_has_handed_its_seat_over_returns_as_a_spare(cluster):
+    """Guards against two holders of a seat after a planned restart."""
+    await form_cluster(cluster, 4)
+    spare = cluster.find_spare()
+    stopped = cluster.find_leader()
+    await cluster.stop(stopped)
+    await cluster.wait_admitted(spare)
+    await cluster.start(stopped)
+    with trio.fail_after(TIMEOUT_SECONDS):
+        while (cluster.get_folder(stopped) / "identity").exists():  # noqa: ASYNC110
+            await trio.sleep(0.05)
+    assert cluster.processes[stopped]._replica is None
+    assert (await cluster.change_routes(2, 1)).status == "applied"
+
+
 async def test_returning_host_finds_its_seat_taken(cluster):
     """Guards against two hosts that vote with the same seat."""
     await form_cluster(cluster, 4)
--- a/src/coltsfootspar/fleet/tests/test_offers.py
+++ b/src/coltsfootspar/fleet/tests/test_offers.py
@@ -46,3 +46,39 @@
     offers = create_offers({"seat-4": "10.0.0.4:7620"})
     reply = offers.handle_join(JoinRequest("10.0.0.6:7620", "core-6"))
     assert reply.replica_id == "seat-5"
+
+
+async def test_seat_of_a_host_that_leaves_is_offered_at_once(autojump_clock):
+    """Guards against a planned stop that is only noticed by silence."""
+    offers = create_offers({"seat-4": "10.0.0.4:7620", "seat-5": "10.0.0.5:7620"})
+    moved = []
+    offers.on_offer = moved.append
+    leave = JoinRequest("10.0.0.2:7620", "core-2", is_leaving=True)
+    assert offers.handle_join(leave).replica_id == ""
+    join = JoinRequest("10.0.0.6:7620", "core-6")
+    assert offers.handle_join(join).replica_id == "seat-2"
+    assert moved == ["seat-2"]
+    assert offers.find_address("seat-2") == "10.0.0.6:7620"
+    assert offers.handle_join(leave).replica_id == "seat-2"
+
+
+async def test_seat_is_not_offered_long_after_its_holder_has_left(autojump_clock):
+    """Guards against a host that loses its seat after a stop that was called off."""
+    offers = create_offers({"seat-4": "10.0.0.4:7620", "seat-5": "10.0.0.5:7620"})
+    offers.handle_join(JoinRequest("10.0.0.2:7620", "core-2", is_leaving=True))
+    await trio.sleep(1.5)
+    join = JoinRequest("10.0.0.6:7620", "core-6")
+    assert offers.handle_join(join).replica_id == ""
+
+
+async def test_host_that_has_lost_its_seat_cannot_vacate_it(autojump_clock):
+    """Guards against a late notice that vacates the seat of the next holder."""
+    seats = {
+        "seat-2": "10.0.0.7:7620",
+        "seat-4": "10.0.0.4:7620",
+        "seat-5": "10.0.0.5:7620",
+    }
+    offers = create_offers(seats)
+    offers.handle_join(JoinRequest("10.0.0.2:7620", "core-2", is_leaving=True))
+    join = JoinRequest("10.0.0.6:7620", "core-6")
+    assert offers.handle_join(join).replica_id == ""
--- a/src/coltsfootspar/node/program.py
+++ b/src/coltsfootspar/node/program.py
@@ -111,6 +111,8 @@
         parts.pipeline.drain()
         parts.membership.leave()
         async with trio.open_nursery() as nursery:
+            if parts.replica is not None:
+                nursery.start_soon(parts.replica.replica.retire)
             nursery.start_soon(parts.links.announce_leaving)
             nursery.start_soon(self._peers.announce_leaving)
 
--- a/src/coltsfootspar/replica/program.py
+++ b/src/coltsfootspar/replica/program.py
@@ -106,6 +106,7 @@
                 async for number in signals:
                     logging.info("Received %s", signal.Signals(number).name)
                     break
+                await self._service.replica.retire()
                 with trio.move_on_after(_DRAIN_SECONDS):
                     with trio.move_on_after(_OPERATORS_DRAIN_SECONDS):
                         await admin.drain()
--- a/src/coltsfootspar/replication/core.py
+++ b/src/coltsfootspar/replication/core.py
@@ -79,6 +79,12 @@
     async def propose(self, command: Command) -> Result:
         """Replicates a command and returns its result once it is applied."""
 
+    async def transfer(self) -> None:
+        """Hands the term over to a replica that has all entries."""
+
+    def get_last_contact(self, replica_id: str) -> float:
+        """Returns when a replica last answered a request."""
+
     def advance_commit_index(self) -> None:
         """Commits the entries that a majority has synced."""
 
@@ -95,6 +101,7 @@
     :param applied_bytes: size of the entries applied since the last snapshot.
     :param last_leader_contact: trio clock at the last request of a leader,
         seconds.
+    :param last_leader_id: replica that sent this request, or None.
     :param last_caught_up: trio clock at which the replica last had applied every
         entry that the leader had committed, seconds.
     :param election_timer_start: trio clock at which the election timeout began,
@@ -106,6 +113,8 @@
     :param table_changed: set, then replaced, when the table or the routes have a
         new version, and when the replica loses contact with the leader.
     :param needs_snapshot: set when a snapshot is due.
+    :param is_retiring: true when this replica must not become leader any more.
+    :param campaign_requested: set when the leader hands its term over to this replica.
     """
 
     options: ReplicaOptions
@@ -125,6 +134,7 @@
     role: Role = Role.FOLLOWER
     leader_id: str | None = None
     last_leader_contact: float = -float("inf")
+    last_leader_id: str | None = None
     last_caught_up: float = -float("inf")
     election_timer_start: float = attrs.field(factory=trio.current_time)
     leader_term: LeaderTerm | None = None
@@ -133,6 +143,8 @@
     admitted: trio.Event = attrs.field(factory=trio.Event)
     table_changed: trio.Event = attrs.field(factory=trio.Event)
     needs_snapshot: trio.Event = attrs.field(factory=trio.Event)
+    is_retiring: bool = False
+    campaign_requested: trio.Event = attrs.field(factory=trio.Event)
     _claim_events: dict[str, trio.Event] = attrs.field(factory=dict)
     _ballot_lock: trio.Lock = attrs.field(factory=trio.Lock)
 
--- a/src/coltsfootspar/replication/election.py
+++ b/src/coltsfootspar/replication/election.py
@@ -8,7 +8,13 @@
 from coltsfootspar.replication.messages import VoteReply, VoteRequest
 from coltsfootspar.wire import FrameKind, replication as codec
 
-__all__ = ["campaign", "handle_pre_vote", "handle_vote", "wait_election_timeout"]
+__all__ = [
+    "campaign",
+    "handle_campaign",
+    "handle_pre_vote",
+    "handle_vote",
+    "wait_election_timeout",
+]
 
 _VOTE_TIMEOUT_SECONDS = 1.0
 
@@ -16,8 +22,8 @@
 async def wait_election_timeout(core: ReplicaCore) -> None:
     """Waits until no leader has sent a request for a random election timeout.
 
-    Waits first until the replica is admitted. Returns at once in a cluster of
-    one replica.
+    Waits first until the replica is admitted, and for ever while it retires. Returns
+    at once in a cluster of one replica, and when the leader hands its term over.
     """
     await core.admitted.wait()
     if not core.peer_ids:
@@ -28,9 +34,12 @@
     )
     while True:
         deadline = max(core.election_timer_start, core.last_leader_contact) + timeout
-        if trio.current_time() >= deadline:
+        if core.is_retiring:
+            await trio.sleep_forever()
+        if trio.current_time() >= deadline or core.campaign_requested.is_set():
             return
-        await trio.sleep_until(deadline)
+        with trio.move_on_at(deadline):
+            await core.campaign_requested.wait()
 
 
 async def campaign(core: ReplicaCore) -> bool:
@@ -38,13 +47,15 @@
 
     :returns: true when a majority has voted for this replica.
     """
+    is_requested = core.campaign_requested.is_set()
+    core.campaign_requested = trio.Event()
     # The replica has lost contact with the leader, so clients that watch it should
     # move on to another one.
     core.wake_watchers()
     term = core.term + 1
     # The term is raised only after a won pre-vote, so that a replica which returns
     # from a partition does not depose a working leader.
-    if not await _request_votes(core, FrameKind.PRE_VOTE, term):
+    if not (is_requested or await _request_votes(core, FrameKind.PRE_VOTE, term)):
         return False
     if not await core.start_candidacy(term):
         return False
@@ -85,6 +96,24 @@
     return VoteReply(core.term, is_granted, core.identity.incarnation)
 
 
+async def handle_campaign(core: ReplicaCore, request: VoteRequest) -> VoteReply:
+    """Begins an election at once, since the leader hands its term over.
+
+    Refuses unless the log is as long as that of the leader.
+    """
+    last = (core.log.last_term, core.log.last_index)
+    is_accepted = (
+        core.identity.is_admitted
+        and not core.is_retiring
+        and core.role is Role.FOLLOWER
+        and (core.term, core.leader_id) == (request.term, request.candidate_id)
+        and last == (request.last_term, request.last_index)
+    )
+    if is_accepted:
+        core.campaign_requested.set()
+    return VoteReply(core.term, is_accepted, core.identity.incarnation)
+
+
 @attrs.define(eq=False)
 class _VoteRound:
     """Replies to one round of vote or pre-vote requests.
--- a/src/coltsfootspar/replication/following.py
+++ b/src/coltsfootspar/replication/following.py
@@ -88,6 +88,7 @@
     if core.role is not Role.FOLLOWER:
         core.step_down(request.leader_id)
     core.leader_id = request.leader_id
+    core.last_leader_id = request.leader_id
     core.last_leader_contact = trio.current_time()
     return True
 
--- a/src/coltsfootspar/replication/leadership.py
+++ b/src/coltsfootspar/replication/leadership.py
@@ -2,6 +2,7 @@
 
 import attrs
 import trio
+from absl import logging
 
 from coltsfootspar.exceptions import (
     FrameError,
@@ -25,9 +26,10 @@
     AppendRequest,
     InstallReply,
     InstallRequest,
+    VoteRequest,
 )
 from coltsfootspar.timers import TimerService
-from coltsfootspar.wire import Message, replication as codec
+from coltsfootspar.wire import FrameKind, Message, replication as codec
 
 __all__ = ["Leadership", "create_leadership"]
 
@@ -39,6 +41,9 @@
 _REQUEST_TIMEOUT_SECONDS = 0.5
 _MAX_REQUEST_TIMEOUT_SECONDS = 4.0
 _MS_PER_SECOND = 1_000
+_TRANSFER_POLL_SECONDS = 0.05
+# Time in which the replica that takes the term over is elected.
+_TRANSFER_WAIT_SECONDS = 0.3
 
 
 @attrs.define(eq=False)
@@ -81,6 +86,9 @@
     :param _admissions: index and incarnation of each replica's admission that is
         in the log but not yet applied.
     :param requests_sent: requests sent to the other replicas in this term.
+    :param _is_transferring: true while another replica is to take the term over.
+    :param _former_leader: id of the leader before this term, and trio clock of its
+        last request.
     :param _unapplied_sizes: size in bytes of each entry of this term that is not yet
         applied, by index.
     :param _unapplied_bytes: sum of these sizes.
@@ -93,6 +101,8 @@
     _admissions: dict[str, tuple[int, int]]
     requests_sent: int = 0
     _proposals: dict[int, _Proposal] = attrs.field(factory=dict)
+    _is_transferring: bool = False
+    _former_leader: tuple[str | None, float] = (None, 0.0)
     _unapplied_sizes: dict[int, int] = attrs.field(factory=dict)
     _unapplied_bytes: int = 0
     _scope: trio.CancelScope = attrs.field(factory=trio.CancelScope)
@@ -135,6 +145,8 @@
         core = self._core
         if not self.is_active:
             raise NotLeaderError("the term as leader is over", leader_id=core.leader_id)
+        if self._is_transferring:
+            raise NoQuorumError("the leader hands its term over", may_have_run=False)
         if len(self._proposals) >= _MAX_PENDING_PROPOSALS:
             raise NoQuorumError("too many proposals are pending", may_have_run=False)
         if self._unapplied_bytes >= _MAX_UNAPPLIED_BYTES:
@@ -157,11 +169,61 @@
     def get_last_contact(self, replica_id: str) -> float:
         """Returns when a replica last answered a request.
 
+        A replica that has not answered in this term counts from the begin of the
+        term; if it was the leader before, from its last request.
+
         :returns: trio clock at which the answered request was sent, seconds; the
             present time for a replica that is not a peer.
         """
         peer = self._peers.get(replica_id)
-        return peer.last_contact if peer is not None else trio.current_time()
+        if peer is None:
+            return trio.current_time()
+        former_id, former_contact = self._former_leader
+        has_answered = peer.incarnation >= 0
+        return (
+            former_contact
+            if replica_id == former_id and not has_answered
+            else peer.last_contact
+        )
+
+    async def transfer(self) -> None:
+        """Hands the term over to a replica that has all entries.
+
+        Takes no proposals meanwhile. Returns once the term is over; does not return
+        while no other replica can take it over.
+        """
+        self._is_transferring = True
+        try:
+            while self.is_active:
+                peer = self._find_successor()
+                is_accepted = peer is not None and await self._request_campaign(peer)
+                await trio.sleep(
+                    _TRANSFER_WAIT_SECONDS if is_accepted else _TRANSFER_POLL_SECONDS
+                )
+        finally:
+            self._is_transferring = False
+
+    def _find_successor(self) -> _Peer | None:
+        last_index = self._core.log.last_index
+        peers = [
+            peer
+            for peer in self._peers.values()
+            if peer.match_index == last_index and self._counts_toward_quorum(peer)
+        ]
+        return max(peers, key=lambda peer: peer.last_contact, default=None)
+
+    async def _request_campaign(self, peer: _Peer) -> bool:
+        log = self._core.log
+        request = VoteRequest(
+            self.term, self._core.replica_id, log.last_index, log.last_term
+        )
+        message = codec.encode_vote(FrameKind.CAMPAIGN, request)
+        try:
+            reply = codec.decode_vote_reply(await self._request(peer, message))
+        except (LinkError, FrameError) as error:
+            logging.info("%s did not take the term over: %s", peer.replica_id, error)
+            return False
+        return reply.is_granted
 
     def complete_proposal(self, index: int, result: Result) -> None:
         """Passes the result of an applied entry to the task that proposed it."""
@@ -365,7 +427,10 @@
     next_index = core.log.last_index + 1
     peers = {name: _Peer(name, next_index, now) for name in core.peer_ids}
     admissions = core.list_unapplied_admissions()
-    leadership = Leadership(core.term, core, timers, peers, admissions)
+    former_leader = (core.last_leader_id, core.last_leader_contact)
+    leadership = Leadership(
+        core.term, core, timers, peers, admissions, former_leader=former_leader
+    )
     core.role = Role.LEADER
     core.leader_id = core.replica_id
     core.leader_term = leadership
--- a/src/coltsfootspar/replication/messages.py
+++ b/src/coltsfootspar/replication/messages.py
@@ -163,17 +163,21 @@
     """Asks for a seat, which is the id of a replica that the process may become.
 
     :param address: address at which the process listens for the other replicas.
+    :param is_leaving: true when the process holds a seat and offers it to others,
+        since it stops.
     """
 
     address: str
     process_id: str
+    is_leaving: bool = False
 
 
 @attrs.frozen
 class JoinReply:
     """Answers a :class:`JoinRequest`.
 
-    :param replica_id: the offered seat, empty when there is none.
+    :param replica_id: the offered seat, empty when there is none. For a process that
+        is leaving: its seat if another process takes it over, else empty.
     :param leader_address: address of the leader, empty when it is not known.
     :param seats: address of each seat after the entries up to ``index``.
     :param index: last entry that the sender of the reply has applied.
--- a/src/coltsfootspar/replication/replica.py
+++ b/src/coltsfootspar/replication/replica.py
@@ -26,6 +26,7 @@
 from coltsfootspar.replication.departures import DepartureStore, load_departures
 from coltsfootspar.replication.election import (
     campaign,
+    handle_campaign,
     handle_pre_vote,
     handle_vote,
     wait_election_timeout,
@@ -58,6 +59,7 @@
 
 _MAX_WAIT_SECONDS = 10.0
 _MAX_HISTORY_CHANGES = 1_000
+_TRANSFER_TIMEOUT_SECONDS = 1.5
 
 
 @attrs.define(eq=False)
@@ -116,6 +118,21 @@
             )
         return await core.leader_term.propose(command)
 
+    async def retire(self) -> bool:
+        """Hands the leadership over, if this replica has it, and seeks it no more.
+
+        Waits for a limited time, after which the replica may still lead.
+
+        :returns: true when the replica was the leader.
+        """
+        core = self._core
+        core.is_retiring = True
+        if core.leader_term is None or not core.peer_ids:
+            return False
+        with trio.move_on_after(_TRANSFER_TIMEOUT_SECONDS):
+            await core.leader_term.transfer()
+        return True
+
     def read_table(self) -> Table:
         """Returns the table of the applied state, which may be stale."""
         return self._core.state.table.table
@@ -220,6 +237,10 @@
         reply = await handle_vote(self._core, codec.decode_vote(message))
         return codec.encode_vote_reply(reply)
 
+    async def _serve_campaign(self, message: Message) -> Message:
+        reply = await handle_campaign(self._core, codec.decode_vote(message))
+        return codec.encode_vote_reply(reply)
+
     async def _serve_append(self, message: Message) -> Message:
         reply = await handle_append(self._core, codec.decode_append(message))
         return codec.encode_append_reply(reply)
@@ -319,6 +340,7 @@
 _HANDLERS: dict[FrameKind, Callable[[Replica, Message], Awaitable[Message]]] = {
     FrameKind.PRE_VOTE: Replica._serve_pre_vote,
     FrameKind.VOTE: Replica._serve_vote,
+    FrameKind.CAMPAIGN: Replica._serve_campaign,
     FrameKind.APPEND: Replica._serve_append,
     FrameKind.INSTALL_SNAPSHOT: Replica._serve_install,
     FrameKind.PROPOSE: Replica._serve_propose,
--- a/src/coltsfootspar/routing/links.py
+++ b/src/coltsfootspar/routing/links.py
@@ -258,6 +258,15 @@
         ]
         await notify_all(open_connections, Message(FrameKind.LEAVING))
 
+    def reconnect(self, node_id: str) -> None:
+        """Closes the connection to a node whose address has changed, if there is one.
+
+        The next request opens a connection to the new address.
+        """
+        peer = self._peers.get(node_id)
+        if peer is not None and peer.connection is not None:
+            self._nursery.start_soon(peer.connection.close, "address has changed")
+
     def remove_peer(self, node_id: str, peer: "_PeerConnection") -> None:
         """Removes a peer whose task has ended.
 
--- a/src/coltsfootspar/wire/frames.py
+++ b/src/coltsfootspar/wire/frames.py
@@ -61,6 +61,7 @@
     APPEND_REPLY = 52
     INSTALL_SNAPSHOT = 53
     INSTALL_SNAPSHOT_REPLY = 54
+    CAMPAIGN = 55
 
     PROPOSE = 64
     PROPOSE_REPLY = 65
--- a/src/coltsfootspar/wire/replication.capnp
+++ b/src/coltsfootspar/wire/replication.capnp
@@ -147,6 +147,7 @@
 struct JoinRequest {
   address @0 :Text;
   processId @1 :Text;
+  isLeaving @2 :Bool;
 }
 
 struct JoinReply {
--- a/src/coltsfootspar/wire/replication/messages.py
+++ b/src/coltsfootspar/wire/replication/messages.py
@@ -88,7 +88,7 @@
 
 
 def encode_vote(kind: FrameKind, request: VoteRequest) -> Message:
-    """Encodes a vote request as a message of ``VOTE`` or ``PRE_VOTE``."""
+    """Encodes a vote request as a message of ``VOTE``, ``PRE_VOTE`` or ``CAMPAIGN``."""
     payload = create_struct(
         SCHEMA.VoteRequest,
         term=request.term,
@@ -453,6 +453,7 @@
     payload = SCHEMA.JoinRequest.new_message()
     payload.address = request.address
     payload.processId = request.process_id
+    payload.isLeaving = request.is_leaving
     return Message(FrameKind.JOIN, payload.to_bytes())
 
 
@@ -461,7 +462,7 @@
     return decode_payload(
         SCHEMA.JoinRequest,
         message.payload,
-        lambda r: JoinRequest(r.address, r.processId),
+        lambda r: JoinRequest(r.address, r.processId, r.isLeaving),
     )
 
 
