--- a/src/coltsfootspar/fleet/tests/conftest.py
+++ b/src/coltsfootspar/fleet/tests/conftest.py
@@ -4,22 +4,16 @@
 
 import trio
 
+from coltsfootspar.testing.ports import find_free_port
 from coltsfootspar.wire import Address
 
 HOST = "127.0.0.1"
 TIMEOUT_SECONDS = 40
 
 
-def find_free_port(kind=socket.SOCK_STREAM) -> int:
-    """Returns a port that is currently free."""
-    with socket.socket(type=kind) as sock:
-        sock.bind((HOST, 0))
-        return sock.getsockname()[1]
-
-
 def find_free_address() -> Address:
     """Returns a TCP address that is currently free."""
-    return Address(HOST, find_free_port())
+    return Address(HOST, find_free_port(HOST))
 
 
 def create_settings(model: type, **fields):
@@ -35,9 +29,9 @@
         seeds=(find_free_address(),),
         shared_key="5f" * 16,
         control=find_free_address(),
-        peer_port=find_free_port(),
-        gossip_port=find_free_port(socket.SOCK_DGRAM),
-        metrics_port=find_free_port(),
+        peer_port=find_free_port(HOST),
+        gossip_port=find_free_port(HOST, socket.SOCK_DGRAM),
+        metrics_port=find_free_port(HOST),
         **fields,
     )
 
--- a/src/coltsfootspar/relay/tests/conftest.py
+++ b/src/coltsfootspar/relay/tests/conftest.py
@@ -2,7 +2,6 @@
 
 import contextlib
 import random
-import socket
 
 import attrs
 import pytest
@@ -28,6 +27,7 @@
     create_route_matcher,
 )
 from coltsfootspar.routing import Candidate
+from coltsfootspar.testing.ports import find_free_port
 from coltsfootspar.wire import Address
 
 NAMES = HeaderNames()
@@ -35,13 +35,6 @@
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
 
-def find_free_port() -> int:
-    """Returns a port that is currently free."""
-    with socket.socket() as sock:
-        sock.bind((HOST, 0))
-        return sock.getsockname()[1]
-
-
 def create_route(**changes) -> Route:
     """Creates a route to ``wallet`` under ``/views/``."""
     route = Route(
@@ -145,7 +138,7 @@
 
     async def add_server(self, script) -> ScriptedServer:
         """Starts a backend server."""
-        server = ScriptedServer(Address(HOST, find_free_port()), script)
+        server = ScriptedServer(Address(HOST, find_free_port(HOST)), script)
         await self.nursery.start(server.serve)
         return server
 
@@ -154,7 +147,7 @@
         backend = create_backend_server(NAMES, lambda: None)
         backend.apply_report(create_report(server_address, slots=slots))
         inbound = create_relay_server(CallReceiver(backend, NAMES).handle)
-        address = Address(HOST, find_free_port())
+        address = Address(HOST, find_free_port(HOST))
         await self.nursery.start(inbound.serve, address)
         self.directory.addresses[name] = address
         return backend
@@ -174,7 +167,7 @@
             NAMES,
         )
         server = create_relay_server(forwarder.handle)
-        address = Address(HOST, find_free_port())
+        address = Address(HOST, find_free_port(HOST))
         await self.nursery.start(server.serve, address)
         return forwarder, server, address
 
--- a/src/coltsfootspar/relay/tests/test_crashing_requests.py
+++ b/src/coltsfootspar/relay/tests/test_crashing_requests.py
@@ -128,10 +128,10 @@
         )
         receiver = CallReceiver(backend, NAMES)
         inbound = create_relay_server(create_peer_handler(receiver.handle, notifier))
-        address = Address(HOST, find_free_port())
+        address = Address(HOST, find_free_port(HOST))
         await nursery.start(inbound.serve, address)
         nursery.start_soon(notifier.run, self.timers)
-        server = CrashingServer(Address(HOST, find_free_port()), backend)
+        server = CrashingServer(Address(HOST, find_free_port(HOST)), backend)
         await nursery.start(server.run)
         directory.addresses[name] = address
         self.servers.append(server)
--- a/src/coltsfootspar/relay/tests/test_cut_heads.py
+++ b/src/coltsfootspar/relay/tests/test_cut_heads.py
@@ -264,7 +264,7 @@
         await exchange.answer(200, [], b"x" * 8_000_000)
 
     server = create_relay_server(answer)
-    address = Address(HOST, find_free_port())
+    address = Address(HOST, find_free_port(HOST))
     await harness.nursery.start(server.serve, address)
     async with await trio.open_tcp_stream(address.host, address.port) as stream:
         await stream.send_all(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n" * 2)
--- a/src/coltsfootspar/relay/tests/test_endless.py
+++ b/src/coltsfootspar/relay/tests/test_endless.py
@@ -106,7 +106,7 @@
 
     server = create_relay_server(echo)
     server.limits = ClientLimits()
-    address = Address(HOST, find_free_port())
+    address = Address(HOST, find_free_port(HOST))
     await harness.nursery.start(server.serve, address)
     head = b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
     stream = await trio.open_tcp_stream(address.host, address.port)
--- a/src/coltsfootspar/relay/tests/test_path.py
+++ b/src/coltsfootspar/relay/tests/test_path.py
@@ -96,7 +96,7 @@
 async def test_unreachable_server_is_skipped(harness):
     """Guards against an error while another server could serve the request."""
     server = await harness.add_server(answer_ok)
-    await harness.add_node("n1", Address(HOST, find_free_port()))
+    await harness.add_node("n1", Address(HOST, find_free_port(HOST)))
     await harness.add_node("n2", server.address)
     use_once_route(harness)
     _, _, entry = await harness.add_entry_node()
@@ -315,7 +315,7 @@
 
 async def test_late_report_does_not_undo_leaving(harness):
     """Guards against a reordered report that brings a leaving server back."""
-    address = Address(HOST, find_free_port())
+    address = Address(HOST, find_free_port(HOST))
     backend = await harness.add_node("n1", address)
     backend.apply_report(create_report(address, is_leaving=True, sequence=5))
     backend.apply_report(create_report(address, sequence=4))
@@ -326,7 +326,7 @@
 
 async def test_report_after_departure_of_same_start(harness):
     """Guards against a report after deregistration that brings a server back."""
-    address = Address(HOST, find_free_port())
+    address = Address(HOST, find_free_port(HOST))
     backend = await harness.add_node("n1", address)
     backend.apply_departure("i-1")
     backend.apply_report(create_report(address, sequence=9))
@@ -600,7 +600,7 @@
         inbound = create_relay_server(
             CallReceiver(create_backend_server(NAMES, lambda: None), NAMES).handle
         )
-        harness.directory.addresses[name] = Address(HOST, find_free_port())
+        harness.directory.addresses[name] = Address(HOST, find_free_port(HOST))
         await harness.nursery.start(inbound.serve, harness.directory.addresses[name])
     forwarder, _, entry = await harness.add_entry_node()
     asked = []
@@ -628,7 +628,7 @@
     harness.routes.table = RouteTable(1, 0, (route,), (Service("wallet", 9),))
     backend = create_backend_server(NAMES, lambda: None)
     backend.apply_report(create_report(server.address, slots=1))
-    harness.directory.addresses["entry"] = Address(HOST, find_free_port())
+    harness.directory.addresses["entry"] = Address(HOST, find_free_port(HOST))
     _, relay, entry = await harness.add_entry_node(backend)
     answers = []
 
--- a/src/coltsfootspar/relay/tests/test_server.py
+++ b/src/coltsfootspar/relay/tests/test_server.py
@@ -19,7 +19,7 @@
 async def start_server(harness, handler, limits=None):
     server = create_relay_server(handler)
     server.limits = limits or ClientLimits()
-    address = Address(HOST, find_free_port())
+    address = Address(HOST, find_free_port(HOST))
     await harness.nursery.start(server.serve, address)
     return server, address
 
