--- a/src/coltsfootspar/fleet/departures.py
+++ b/src/coltsfootspar/fleet/departures.py
@@ -19,6 +19,8 @@
 RECOVERY_TIMEOUT_SECONDS = 2.5
 _RETRY_DELAY_SECONDS = 0.1
 _RETRY_PERIOD_SECONDS = 1.0
+# Latest backend servers beside the node whose departure is remembered.
+_MAX_RECORDED = 64
 
 
 @attrs.define(eq=False)
@@ -75,7 +77,12 @@
         Without a majority it returns after a time limit, and the departure is sent
         again later: the backend server leaves in any case.
         """
+        self._recorded.pop(departure.instance_id, None)
         self._recorded[departure.instance_id] = departure
+        if len(self._recorded) > _MAX_RECORDED:
+            oldest = next(iter(self._recorded))
+            del self._recorded[oldest]
+            self._unconfirmed.pop(oldest, None)
         self._unconfirmed[departure.instance_id] = departure
         self._has_unconfirmed.set()
         await self._send_unconfirmed(_RECORD_TIMEOUT_SECONDS)
@@ -118,7 +125,7 @@
                 )
             else:
                 order = (departure.started_ms, departure.sequence)
-                self._backend.restore_leaving(order)
+                self._backend.restore_leaving(departure.instance_id, order)
         return known.is_majority
 
 
--- a/src/coltsfootspar/membership/service.py
+++ b/src/coltsfootspar/membership/service.py
@@ -5,6 +5,7 @@
 
 import attrs
 import trio
+from absl import logging
 
 from coltsfootspar.exceptions import FrameError, MembershipError
 from coltsfootspar.membership.budget import RateBudget
@@ -30,6 +31,8 @@
 # ignored.
 _MAX_INDIRECT_PROBES = 64
 _MAX_NAME_BYTES = 63
+# A smaller change of the end of the warm-up is not gossiped: reports may be late.
+_WARM_UP_TOLERANCE_SECONDS = 2.0
 
 
 @attrs.define(eq=False)
@@ -115,12 +118,14 @@
         """
         _check_name("service", service)
         own = self.own
-        if (own.service, own.slots) == (service, slots):
-            return
-        warm_at = own.warm_at
-        if own.service != service:
-            warm_at = trio.current_time() + cold_start
-        self._view.change_own(service=service, slots=slots, warm_at=warm_at)
+        now = trio.current_time()
+        warm_at = now + cold_start
+        if own.service == service and (
+            abs(warm_at - max(now, own.warm_at)) <= _WARM_UP_TOLERANCE_SECONDS
+        ):
+            warm_at = own.warm_at
+        if (own.service, own.slots, own.warm_at) != (service, slots, warm_at):
+            self._view.change_own(service=service, slots=slots, warm_at=warm_at)
 
     def withdraw(self) -> None:
         """Withdraws the announcement; the node itself remains a member."""
@@ -216,6 +221,10 @@
                 await self._handle(packet, address)
             except FrameError:
                 self._transport.counters.rejected += 1
+            except Exception:
+                # One odd datagram must not end the process and its requests.
+                logging.exception("A datagram from %s is ignored", address)
+                self._transport.counters.rejected += 1
 
     async def _handle(self, packet: Packet, address: Address) -> None:
         self._apply_common_fields(packet)
--- a/src/coltsfootspar/membership/transport.py
+++ b/src/coltsfootspar/membership/transport.py
@@ -5,6 +5,7 @@
 
 import attrs
 import trio
+from absl import logging
 
 from coltsfootspar.exceptions import FrameError
 from coltsfootspar.membership.budget import RateBudget
@@ -186,6 +187,10 @@
     def _seal(
         self, kind: FrameKind, records: Sequence[MemberRecord], fields: dict
     ) -> bytes:
+        """Encodes a packet.
+
+        :returns: the datagram, empty when the packet cannot be encoded.
+        """
         packet = Packet(
             kind=kind,
             sender=self.view.member_list.own_id,
@@ -194,9 +199,16 @@
             records=tuple(records),
             **fields,
         )
-        return seal_packet(packet, self._shared_key)
+        try:
+            return seal_packet(packet, self._shared_key)
+        except Exception:
+            # What cannot be encoded must not end the process and its requests.
+            logging.exception("A datagram of kind %s is not sent", kind.name)
+            return b""
 
     async def _transmit(self, address: Address, data: bytes) -> None:
+        if not data:
+            return
         self.counters.sent += 1
         self.counters.sent_bytes += len(data) + _HEADER_BYTES
         await self._port.send(address, data)
--- a/src/coltsfootspar/relay/backend.py
+++ b/src/coltsfootspar/relay/backend.py
@@ -38,6 +38,12 @@
 
 # A backend server without a report for this time gets no work.
 REPORT_TIMEOUT_SECONDS = 9.0
+# Older reports count again after this number of them in this time, with none of the
+# server that reported the newest start or sequence.
+OUTLASTING_REPORTS = 3
+OUTLASTING_SECONDS = 3.0
+# Latest backend servers beside the node whose departure is remembered.
+_MAX_REMEMBERED_SERVERS = 64
 # Time for which calls are refused after a connection could not be opened.
 CONNECT_RETRY_SECONDS = 0.3
 # A request that must not run twice is sent on a connection used this recently, or on
@@ -81,6 +87,19 @@
         return self.started_ms, self.sequence
 
 
+@attrs.frozen
+class _OlderReports:
+    """Reports in a row that are older than the newest one, of one backend server.
+
+    :param latest: the last of them.
+    :param since: arrival of the first one, trio clock, seconds.
+    """
+
+    latest: BackendReport
+    since: float
+    count: int = 1
+
+
 @attrs.define(eq=False)
 class BackendServer:
     """Forwards calls to the backend server on the local host.
@@ -101,8 +120,11 @@
     report: BackendReport | None = None
     _newest_order: tuple[int, int] = (-1, -1)
     _last_report: BackendReport | None = None
+    _older_reports: _OlderReports | None = None
     # Start of the latest boot that has departed, by instance id.
     _departed_starts: dict[str, int] = attrs.field(factory=dict)
+    # Order of the latest report that an instance leaves, by instance id.
+    _leaving_orders: dict[str, tuple[int, int]] = attrs.field(factory=dict)
     _reported_at: float = -float("inf")
     _down_until: float = -float("inf")
     _pool: ConnectionPool | None = None
@@ -127,9 +149,12 @@
     def apply_report(self, report: BackendReport) -> None:
         """Applies a report unless a newer one has arrived.
 
-        An instance that has departed returns only with a new start time.
+        An instance that has departed returns only with a new start time. An older
+        report counts if its server is the only one that still reports, since the
+        newer one may come from a faulty writer.
         """
-        if report.order <= self._newest_order:
+        now = trio.current_time()
+        if self._has_departed(report) or not self._is_newest(report, now):
             log_decision(
                 "report-ignored",
                 instance=report.instance_id,
@@ -137,18 +162,11 @@
                 known=self._newest_order,
             )
             return
-        now = trio.current_time()
         previous = self.report
         self._newest_order = report.order
-        departed_start = self._departed_starts.get(report.instance_id)
-        if departed_start is not None and report.started_ms <= departed_start:
-            log_decision(
-                "report-ignored",
-                instance=report.instance_id,
-                order=report.order,
-                departed=departed_start,
-            )
-            return
+        self._older_reports = None
+        if report.is_leaving:
+            _remember(self._leaving_orders, report.instance_id, report.order)
         self._reported_at = now
         self.report = self._last_report = report
         self._down_until = now
@@ -171,14 +189,42 @@
                 slots=report.slots,
                 order=report.order,
             )
-            self._publish_change()
+        # Slots and the end of the warm-up may change with each report.
+        self._publish_change()
+
+    def _has_departed(self, report: BackendReport) -> bool:
+        """Returns true when a report is from before the departure of its server."""
+        departed_start = self._departed_starts.get(report.instance_id, -1)
+        leaving_order = self._leaving_orders.get(report.instance_id, (-1, -1))
+        return report.started_ms <= departed_start or report.order <= leaving_order
+
+    def _is_newest(self, report: BackendReport, now: float) -> bool:
+        if report.order > self._newest_order:
+            return True
+        older = self._older_reports
+        is_next = older is not None and (
+            older.latest.instance_id == report.instance_id
+            and older.latest.started_ms == report.started_ms
+            and older.latest.sequence < report.sequence
+        )
+        older = (
+            _OlderReports(report, older.since, older.count + 1)
+            if is_next
+            else _OlderReports(report, now)
+        )
+        self._older_reports = older
+        return (
+            older.count >= OUTLASTING_REPORTS
+            and now - older.since >= OUTLASTING_SECONDS
+        )
 
-    def restore_leaving(self, order: tuple[int, int]) -> None:
+    def restore_leaving(self, instance_id: str, order: tuple[int, int]) -> None:
         """Ignores reports up to the one by which a backend server began to leave.
 
         :param order: :attr:`BackendReport.order` of that report.
         """
-        self._newest_order = max(self._newest_order, order)
+        known = self._leaving_orders.get(instance_id, order)
+        _remember(self._leaving_orders, instance_id, max(known, order))
 
     def restore_departure(self, instance_id: str, started_ms: int) -> None:
         """Ignores reports of a start that departed before the node started.
@@ -186,7 +232,7 @@
         :param started_ms: Unix time of that start, milliseconds.
         """
         known_start = self._departed_starts.get(instance_id, started_ms)
-        self._departed_starts[instance_id] = max(known_start, started_ms)
+        _remember(self._departed_starts, instance_id, max(known_start, started_ms))
 
     def apply_departure(self, instance_id: str, started_ms: int = 0) -> int | None:
         """Stops sending new work to a backend server that has deregistered.
@@ -208,7 +254,7 @@
             return None
         # The departure may have overtaken the first report of its start.
         departed_start = max(started_ms, known_start)
-        self._departed_starts[instance_id] = departed_start
+        _remember(self._departed_starts, instance_id, departed_start)
         if not is_known:
             log_decision(
                 "departure-noted", instance=instance_id, started=departed_start
@@ -383,6 +429,14 @@
         self._on_change()
 
 
+def _remember(values: dict, key: str, value: object) -> None:
+    """Stores a value as the latest one and forgets the oldest of too many."""
+    values.pop(key, None)
+    values[key] = value
+    if len(values) > _MAX_REMEMBERED_SERVERS:
+        del values[next(iter(values))]
+
+
 def _find_max_idle(outgoing: OutgoingCall) -> float:
     """Returns the longest idle time of a connection for a call, seconds.
 
--- a/src/coltsfootspar/relay/sockets.py
+++ b/src/coltsfootspar/relay/sockets.py
@@ -79,9 +79,16 @@
     try:
         _set_options(sock)
         set_user_timeout(sock, allows_slow_reader=False)
-        code = await _try_connect(sock, address, timeout)
+        try:
+            code = await _try_connect(sock, address, timeout)
+        except OSError as error:
+            # For example an address of another family.
+            raise TransferError(
+                f"{address}: {error}", may_have_run=False, code="unreachable"
+            ) from error
         if code != 0:
-            text = f"{address} did not accept a connection: {errno.errorcode[code]}"
+            reason = errno.errorcode.get(code, code)
+            text = f"{address} did not accept a connection: {reason}"
             raise TransferError(text, may_have_run=False, code="unreachable")
     except BaseException:
         sock.close()
--- a/src/coltsfootspar/relay/tests/test_path.py
+++ b/src/coltsfootspar/relay/tests/test_path.py
@@ -6,6 +6,7 @@
 import pytest
 import trio
 
+from coltsfootspar.exceptions import TransferError
 from coltsfootspar.relay import (
     CallReceiver,
     Exchange,
@@ -15,6 +16,7 @@
 )
 from coltsfootspar.relay.calls import OutgoingCall, Reply
 from coltsfootspar.relay.messages import Request
+from coltsfootspar.relay.sockets import connect
 from coltsfootspar.routes import Repetition, RouteTable, Service
 from coltsfootspar.wire import Address
 
@@ -650,3 +652,11 @@
         await relay.expire_in_flight()
     assert sorted(answers) == [b"503", b"503", b"504"]
     assert len(server.heads) == 1
+
+
+async def test_server_with_an_address_of_another_family_is_unreachable():
+    """Guards against an odd address that ends requests without an answer."""
+    with pytest.raises(TransferError) as caught:
+        await connect(Address("fe80::1", 80), 0.1)
+    assert caught.value.code == "unreachable"
+    assert not caught.value.may_have_run
--- a/src/coltsfootspar/replication/client.py
+++ b/src/coltsfootspar/replication/client.py
@@ -7,6 +7,7 @@
 
 import attrs
 import trio
+from absl import logging
 
 from coltsfootspar.exceptions import (
     FrameError,
@@ -241,10 +242,15 @@
                 codec.decode_table_reply,
                 _WATCH_SECONDS + _WATCH_MARGIN_SECONDS,
             )
-            if reply is not None and reply.table_data and reply.version > version:
+            table = _read_newer_routes(reply, version)
+            if table is not None:
                 version = reply.version
-                yield decode_routes(reply.table_data)
-            if reply is None or not reply.is_current:
+                yield table
+            if (
+                reply is None
+                or not reply.is_current
+                or (reply.table_data and not table)
+            ):
                 position += 1
                 await self._back_off()
 
@@ -440,6 +446,17 @@
         return reply
 
 
+def _read_newer_routes(reply: TableReply | None, version: int) -> RouteTable | None:
+    """Returns the routes in a reply if they are newer and can be read."""
+    if reply is None or not reply.table_data or reply.version <= version:
+        return None
+    try:
+        return decode_routes(reply.table_data)
+    except FrameError as error:
+        logging.error("Routes of version %d cannot be read: %s", reply.version, error)
+        return None
+
+
 @attrs.frozen
 class KnownDepartures:
     """Departures that replicas keep for a node.
--- a/src/coltsfootspar/wire/membership.py
+++ b/src/coltsfootspar/wire/membership.py
@@ -46,6 +46,7 @@
 _SHORT_RECORD_BYTES = 36
 _FULL_RECORD_BYTES = 72
 _MAX_UINT32 = (1 << 32) - 1
+_MS_PER_SECOND = 1e3
 # Members are few and their addresses are decoded again and again.
 _parse_address = functools.lru_cache(maxsize=8192)(parse_address)
 _schema = load_schema("membership")
@@ -193,10 +194,15 @@
 
 
 def _write_contact(contact: Contact) -> dict:
-    age = min(_MAX_UINT32, max(0, int(contact.age * 1e3)))
+    age = _to_uint32(contact.age * _MS_PER_SECOND)
     return {"dataCentre": contact.data_centre, "ageMilliseconds": age}
 
 
+def _to_uint32(value: float) -> int:
+    """Returns the nearest value that the wire format holds; 0 for no number."""
+    return int(min(_MAX_UINT32, value)) if value > 0 else 0
+
+
 def _write_record(record: MemberRecord) -> dict:
     fields = {
         "nodeId": record.node_id,
@@ -204,7 +210,7 @@
         "status": int(record.status),
         "isLeaving": record.is_leaving,
         "isFull": record.is_full,
-        "statusSeconds": min(_MAX_UINT32, max(0, int(record.status_age))),
+        "statusSeconds": _to_uint32(record.status_age),
     }
     if not record.is_full:
         return fields
@@ -213,8 +219,8 @@
         "dataCentre": record.data_centre,
         "gossipAddress": str(record.gossip_address),
         "peerAddress": str(record.peer_address),
-        "slots": record.slots,
-        "warmMilliseconds": min(_MAX_UINT32, max(0, int(record.warm_in * 1e3))),
+        "slots": _to_uint32(record.slots),
+        "warmMilliseconds": _to_uint32(record.warm_in * _MS_PER_SECOND),
     }
     if record.service:
         fields["service"] = record.service
