--- a/src/coltsfootspar/replication/client.py
+++ b/src/coltsfootspar/replication/client.py
@@ -54,6 +54,12 @@
 _REQUEST_TIMEOUT_SECONDS = 2.0
 _WATCH_SECONDS = 5.0
 _WATCH_MARGIN_SECONDS = 1.5
+# Short, so that a change reaches a node in time although the replica that it watches
+# is cut off or frozen.
+_WATCH_ROUTES_SECONDS = 1.0
+_MIN_ROUTES_MARGIN_SECONDS = 0.5
+# A large table takes long on a slow link.
+_MAX_ROUTES_MARGIN_SECONDS = 8.0
 _READ_ROUTES_WAIT_MS = 1_000
 _MIN_RETRY_DELAY_SECONDS = 0.05
 _MAX_RETRY_DELAY_SECONDS = 0.25
@@ -232,25 +238,30 @@
         leader.
         """
         version, position = 0, 0
+        margin = _MIN_ROUTES_MARGIN_SECONDS
         while True:
             message = codec.encode_table_request(
-                version, int(_WATCH_SECONDS * _MS_PER_SECOND), FrameKind.WATCH_ROUTES
+                version,
+                int(_WATCH_ROUTES_SECONDS * _MS_PER_SECOND),
+                FrameKind.WATCH_ROUTES,
             )
+            ends_at = trio.current_time() + _WATCH_ROUTES_SECONDS + margin
             reply = await self._try_read(
                 self._get_replica_at(position),
                 message,
                 codec.decode_table_reply,
-                _WATCH_SECONDS + _WATCH_MARGIN_SECONDS,
+                _WATCH_ROUTES_SECONDS + margin,
             )
+            if reply is not None:
+                margin = _MIN_ROUTES_MARGIN_SECONDS
+            elif trio.current_time() >= ends_at:
+                margin = min(2 * margin, _MAX_ROUTES_MARGIN_SECONDS)
             table = _read_newer_routes(reply, version)
             if table is not None:
                 version = reply.version
                 yield table
-            if (
-                reply is None
-                or not reply.is_current
-                or (reply.table_data and not table)
-            ):
+            is_unreadable = reply is not None and reply.table_data and table is None
+            if reply is None or not reply.is_current or is_unreadable:
                 position += 1
                 await self._back_off()
 
--- a/src/coltsfootspar/replication/core.py
+++ b/src/coltsfootspar/replication/core.py
@@ -1,6 +1,7 @@
 """State of one replica, shared by its election, leader and follower code."""
 
 import enum
+import math
 import random
 from collections.abc import Callable
 from typing import Protocol
@@ -174,12 +175,24 @@
 
         A follower may be behind or partitioned from the leader.
         """
+        return trio.current_time() < self.current_until
+
+    @property
+    def current_until(self) -> float:
+        """Trio clock until which the applied state counts as current, seconds.
+
+        It moves on with each request of the leader.
+        """
         if self.role is Role.LEADER:
             # Until an entry of its own term is committed, a new leader may not
             # know which entries of earlier terms are committed.
-            return self.state.term == self.term
-        age = trio.current_time() - self.last_caught_up
-        return age < self.options.max_election_timeout
+            return math.inf if self.state.term == self.term else -math.inf
+        return self.last_caught_up + self.options.max_election_timeout
+
+    async def wait_table_change(self) -> None:
+        """Waits until the table or the routes change, or may have become stale."""
+        with trio.move_on_at(self.current_until):
+            await self.table_changed.wait()
 
     def fail(self, error: ColtsfootsparError) -> None:
         """Stops the replica; from then on it fails every request with the error."""
--- a/src/coltsfootspar/replication/replica.py
+++ b/src/coltsfootspar/replication/replica.py
@@ -269,10 +269,10 @@
         after_version, wait_ms = codec.decode_table_request(message)
         core = self._core
         with trio.move_on_after(min(wait_ms / 1e3, _MAX_WAIT_SECONDS)):
-            # A replica that loses contact with the leader replies at once, so that
-            # the client can watch another one.
+            # A replica that falls behind replies soon, so that the client can watch
+            # another one.
             while self.read_table().version <= after_version and core.is_current:
-                await core.table_changed.wait()
+                await core.wait_table_change()
         return self._encode_table(after_version)
 
     def _encode_table(self, after_version: int) -> Message:
@@ -292,7 +292,7 @@
         core = self._core
         with trio.move_on_after(min(wait_ms / 1e3, _MAX_WAIT_SECONDS)):
             while self._routes.table.version <= after_version and core.is_current:
-                await core.table_changed.wait()
+                await core.wait_table_change()
         routes = self._routes
         version = routes.table.version
         data = routes.data if version > after_version else b""
