--- a/src/coltsfootspar/relay/client.py
+++ b/src/coltsfootspar/relay/client.py
@@ -150,6 +150,7 @@
 
         :raises TransferError: when the connection ends before the body does.
         """
+        await trio.lowlevel.checkpoint()
         while not response.body_parts and not response.is_complete:
             await self._read_more(response)
         return response.take_body()
@@ -198,6 +199,8 @@
             if request.is_head:
                 response.is_complete, self.must_close = True, True
             while not response.is_complete and response.received_bytes <= buffer_bytes:
+                if response.received_bytes:
+                    await trio.lowlevel.checkpoint()
                 await self._read_more(response)
             echoed_id = response.find(request.id_header)
             if echoed_id is None or request.request_id in (None, echoed_id):
--- a/src/coltsfootspar/relay/connections.py
+++ b/src/coltsfootspar/relay/connections.py
@@ -86,6 +86,8 @@
         """
         request = self.request
         while not request.is_complete and request.received_bytes <= limit:
+            if request.received_bytes:
+                await trio.lowlevel.checkpoint()
             await self._connection.read_more(request)
 
     async def read_body(self) -> bytes:
@@ -95,6 +97,7 @@
         :raises TooLargeError: when the body exceeds the limit for clients.
         """
         request = self.request
+        await trio.lowlevel.checkpoint()
         while not request.body_parts and not request.is_complete:
             await self._connection.read_more(request)
         return request.take_body()
@@ -380,6 +383,7 @@
                 not request.is_complete
                 and request.received_bytes < _MAX_DISCARDED_BYTES
             ):
+                await trio.lowlevel.checkpoint()
                 await self.read_more(request)
                 request.take_body()
             self.is_broken = not request.is_complete
@@ -388,4 +392,4 @@
         self.sock.shutdown(socket.SHUT_WR)
         with trio.move_on_after(_DISCARD_TIMEOUT_SECONDS):
             while await receive(self.sock):
-                pass
+                await trio.lowlevel.checkpoint()
--- a/src/coltsfootspar/relay/sockets.py
+++ b/src/coltsfootspar/relay/sockets.py
@@ -140,6 +140,9 @@
 async def receive(sock: socket.socket) -> bytes:
     """Receives data; empty when the peer has closed the connection.
 
+    Does not let other tasks run while data is available: a loop over a body must do
+    so itself, before it receives more, so that a cancellation loses no data.
+
     :raises TransferError: when the connection was reset or timed out.
     """
     while True:
--- a/src/coltsfootspar/relay/tests/test_endless_bodies.py
+++ b/src/coltsfootspar/relay/tests/test_endless_bodies.py
@@ -8,6 +8,8 @@
 
 from coltsfootspar.exceptions import MalformedRequestError
 from coltsfootspar.relay import create_relay_server
+from coltsfootspar.relay.client import ClientConnection, OutgoingRequest
+from coltsfootspar.relay.connections import Connection, Exchange
 from coltsfootspar.relay.messages import MAX_HEADERS, RequestReader, ResponseReader
 from coltsfootspar.routes import Repetition, RouteTable, Service
 from coltsfootspar.testing.ports import find_free_port
@@ -245,3 +247,104 @@
         tracemalloc.stop()
     assert answer.startswith(b"HTTP/1.1 200")
     assert peak < 4 * MB
+
+
+def create_flood(data, most=20_000):
+    """Creates a stand-in for :func:`receive` that has data at any time.
+
+    It fails at last, where the loop that calls it would go on for ever.
+    """
+    calls = 0
+
+    async def receive(sock):
+        nonlocal calls
+        calls += 1
+        assert calls < most, "no other task can run while data comes"
+        return data
+
+    return receive
+
+
+class NullSocket:
+    """A socket that takes all that is sent."""
+
+    def send(self, data):
+        return len(data)
+
+    def shutdown(self, how):
+        pass
+
+
+def create_request():
+    connection = Connection(create_relay_server(None), NullSocket(), HOST)
+    connection.reader.feed(
+        b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+    )
+    return Exchange(connection.reader.messages.popleft(), connection)
+
+
+def create_response():
+    connection = ClientConnection(NullSocket())
+    connection._reader.feed(CHUNKED)
+    return connection, connection._reader.messages.popleft()
+
+
+async def stream_request():
+    exchange = create_request()
+    while True:
+        await exchange.read_body()
+
+
+async def buffer_request():
+    while True:
+        await create_request().buffer_body(MB)
+
+
+async def discard_request():
+    exchange = create_request()
+    while True:
+        exchange.request.received_bytes = 0
+        await exchange._connection._discard_body(exchange.request)
+
+
+async def discard_input():
+    await create_request()._connection._discard_input()
+    await trio.sleep_forever()
+
+
+async def stream_response():
+    connection, response = create_response()
+    while True:
+        await connection.read_body(response)
+
+
+async def buffer_response():
+    while True:
+        connection = ClientConnection(NullSocket())
+        connection._reader.feed(CHUNKED)
+        await connection._read_response(OutgoingRequest(b""), MB)
+
+
+@pytest.mark.parametrize(
+    "read",
+    [
+        stream_request,
+        buffer_request,
+        discard_request,
+        discard_input,
+        stream_response,
+        buffer_response,
+    ],
+)
+async def test_other_tasks_run_while_bytes_come_without_a_pause(read, monkeypatch):
+    """Guards against a node that serves nobody else while a peer sends without end.
+
+    Its peers sent faster than it passed the bytes on, so it never had to wait for
+    them; no deadline and no stop could end that.
+    """
+    flood = create_flood(b"1000\r\n" + b"x" * 4_096 + b"\r\n")
+    monkeypatch.setattr("coltsfootspar.relay.client.receive", flood)
+    monkeypatch.setattr("coltsfootspar.relay.connections.receive", flood)
+    with trio.move_on_after(0.05) as scope:
+        await read()
+    assert scope.cancelled_caught
