--- a/src/coltsfootspar/fleet/control.py
+++ b/src/coltsfootspar/fleet/control.py
@@ -127,17 +127,14 @@
         return create_error_response(404, "request is served by the replicas")
 
     async def _apply_report(self, report: BackendReport) -> ControlResponse:
+        self._departures.apply_report(report)
         if report.is_leaving:
-            self._backend.apply_report(report)
             await self._departures.record_leaving(report)
-        elif await self._departures.wait_recovered():
-            self._backend.apply_report(report)
-        else:
-            return create_error_response(503, "the node is starting")
         return ControlResponse(200)
 
     async def _apply_departure(self, departure: BackendDeparture) -> None:
         instance_id = departure.instance_id
+        self._departures.drop_held_report(instance_id)
         started_ms = self._backend.apply_departure(instance_id, departure.started_ms)
         if started_ms is not None:
             await self._departures.record_departure(instance_id, started_ms)
--- a/src/coltsfootspar/fleet/departures.py
+++ b/src/coltsfootspar/fleet/departures.py
@@ -12,7 +12,6 @@
 
 # A backend server waits a second for the response to its report or notice.
 _RECORD_TIMEOUT_SECONDS = 0.5
-RECOVERY_WAIT_SECONDS = 0.8
 _READ_TIMEOUT_SECONDS = 0.5
 # After this time without a majority of the replicas, the node goes on with what it
 # has read.
@@ -27,6 +26,8 @@
 class DepartureRecorder:
     """Makes the departures that the node acknowledges outlast its process.
 
+    :param _is_recovered: true once it is known what departed before the start.
+    :param _held_report: newest report that has come before.
     :param _recorded: latest departure that was to be recorded, by instance id.
     :param _unconfirmed: those of them that no majority of the replicas has confirmed.
     """
@@ -34,7 +35,8 @@
     _node_id: str
     _client: ReplicationClient
     _backend: BackendServer
-    _recovered: trio.Event = attrs.field(factory=trio.Event)
+    _is_recovered: bool = False
+    _held_report: BackendReport | None = None
     _recorded: dict[str, Departure] = attrs.field(factory=dict)
     _unconfirmed: dict[str, Departure] = attrs.field(factory=dict)
     _has_unconfirmed: trio.Event = attrs.field(factory=trio.Event)
@@ -47,14 +49,23 @@
             await trio.sleep(_RETRY_PERIOD_SECONDS)
             await self._send_unconfirmed(_READ_TIMEOUT_SECONDS)
 
-    async def wait_recovered(self) -> bool:
-        """Waits a short time until it is known what has departed before the start.
+    def apply_report(self, report: BackendReport) -> None:
+        """Applies a report, or holds it until it is known what departed before.
 
-        :returns: false when it is not known yet; reports must not be applied then.
+        A server that has got its acknowledgement does not report again at once, so a
+        report that comes while the node starts must not be lost.
         """
-        with trio.move_on_after(RECOVERY_WAIT_SECONDS):
-            await self._recovered.wait()
-        return self._recovered.is_set()
+        held = self._held_report
+        if self._is_recovered or report.is_leaving:
+            self._backend.apply_report(report)
+        elif held is None or report.order > held.order:
+            self._held_report = report
+
+    def drop_held_report(self, instance_id: str) -> None:
+        """Forgets a held report of a server that has departed."""
+        held = self._held_report
+        if held is not None and held.instance_id == instance_id:
+            self._held_report = None
 
     async def record_leaving(self, report: BackendReport) -> None:
         """Records a report that the backend server leaves; see :meth:`_record`."""
@@ -112,7 +123,10 @@
                     await trio.sleep(_RETRY_DELAY_SECONDS)
         if not is_majority:
             log_decision("departures-unknown")
-        self._recovered.set()
+        self._is_recovered = True
+        if self._held_report is not None:
+            self._backend.apply_report(self._held_report)
+            self._held_report = None
 
     async def _read(self) -> bool:
         known = await self._client.note_departures(
