Give organisations, buckets and gates their types

The parts for the two new customers are built side by side; they share these types and hooks: organisations in the route table, what a call carries about its organisation, and the two gates that a request passes at its first node.

--- a/src/coltsfootspar/relay/calls.py
+++ b/src/coltsfootspar/relay/calls.py
@@ -14,6 +14,7 @@
 
 __all__ = [
     "BLOCKED_ERROR",
+    "BUCKETS",
     "CALL_HEADER",
     "ERROR_HEADER",
     "INTERNAL_HEADERS",
@@ -58,8 +59,11 @@
         RETRIES_HEADER,
     )
 )
+# Groups into which requests of equal rank are divided at random.
+BUCKETS = 128
 _SEPARATOR = b";"
-_CALL_FIELD_COUNT = 7
+# Fields of the first version; the later ones are optional and follow them.
+_MIN_CALL_FIELDS = 7
 
 
 @attrs.frozen
@@ -72,6 +76,8 @@
         request.
     :param caller: service of the node to which the caller sent the request.
     :param instance: id of the backend server that the request is meant for.
+    :param key: key of the client's organisation; not forwarded.
+    :param organisation: name of the organisation, for the backend server.
     :param not_forwarded: lower-case names of headers that a node does not forward,
         since it sets or handles them itself.
     """
@@ -81,11 +87,20 @@
     not_run: bytes = b"Coltsfootspar-Not-Run"
     caller: bytes = b"Coltsfootspar-Caller"
     instance: bytes = b"Coltsfootspar-Instance"
+    key: bytes = b"Coltsfootspar-Key"
+    organisation: bytes = b"Coltsfootspar-Organisation"
     not_forwarded: frozenset[bytes] = attrs.field(init=False)
 
     @not_forwarded.default
     def _collect_not_forwarded(self) -> frozenset[bytes]:
-        headers = (b"Expect", self.deadline_ms, self.instance, self.caller)
+        headers = (
+            b"Expect",
+            self.deadline_ms,
+            self.instance,
+            self.caller,
+            self.key,
+            self.organisation,
+        )
         return INTERNAL_HEADERS.union(name.lower() for name in headers)
 
 
@@ -108,6 +123,12 @@
     :param target_latency: latency within which a response has its full value,
         seconds.
     :param caller: service of the node to which the caller sent the request.
+    :param organisation: organisation on whose behalf the request is served; empty when
+        none is known. A nested call has that of the request that makes it.
+    :param organisation_rank: rank of the organisation; goes before the rank.
+    :param bucket: number from 0 to :data:`BUCKETS` - 1, the same for a request and all
+        calls made for it. Of requests of equal rank, those of high buckets are refused
+        first, so that all nodes choose the same ones.
     """
 
     service: str
@@ -117,6 +138,14 @@
     priority_class: PriorityClass
     target_latency: float
     caller: str
+    organisation: str = ""
+    organisation_rank: int = 0
+    bucket: int = 0
+
+    @property
+    def is_nested(self) -> bool:
+        """True when a backend server makes the call while it serves a request."""
+        return self.priority_class is PriorityClass.NESTED
 
 
 @attrs.frozen
@@ -284,6 +313,9 @@
             b"%d" % call.priority_class,
             b"%d" % int(call.target_latency * 1e3),
             call.caller.encode(),
+            call.organisation.encode(),
+            b"%d" % call.organisation_rank,
+            b"%d" % call.bucket,
         )
     )
 
@@ -295,8 +327,9 @@
     :raises MalformedRequestError: when the header is missing or malformed.
     """
     fields = (value or b"").split(_SEPARATOR)
-    if len(fields) != _CALL_FIELD_COUNT:
+    if len(fields) < _MIN_CALL_FIELDS:
         raise MalformedRequestError("the call header is missing or malformed")
+    fields += [b"", b"0", b"0"][len(fields) - _MIN_CALL_FIELDS :]
     try:
         return Call(
             service=fields[0].decode(),
@@ -306,6 +339,9 @@
             priority_class=PriorityClass(int(fields[4])),
             target_latency=int(fields[5]) / 1e3,
             caller=fields[6].decode(),
+            organisation=fields[7].decode(),
+            organisation_rank=int(fields[8]),
+            bucket=int(fields[9]),
         )
     except ValueError as error:
         raise MalformedRequestError(f"malformed call header: {error}") from error
--- a/src/coltsfootspar/relay/forwarding.py
+++ b/src/coltsfootspar/relay/forwarding.py
@@ -8,7 +8,7 @@
 import trio
 
 from coltsfootspar.calls import Outcome, find_header
-from coltsfootspar.exceptions import TooLargeError, TransferError
+from coltsfootspar.exceptions import RefusedError, TooLargeError, TransferError
 from coltsfootspar.logs import log_decision
 from coltsfootspar.relay.backend import RESPONSE_BUFFER_BYTES, BackendServer
 from coltsfootspar.relay.calls import (
@@ -32,13 +32,19 @@
 )
 from coltsfootspar.relay.client import ClientConnection, ConnectionPool, OutgoingRequest
 from coltsfootspar.relay.connections import Exchange
+from coltsfootspar.relay.gates import (
+    EntryGate,
+    OpenEntryGate,
+    QuotaGate,
+    UnlimitedQuotaGate,
+)
 from coltsfootspar.relay.messages import Request, Response
 from coltsfootspar.relay.outgoing import create_outgoing_call, encode_outgoing_call
 from coltsfootspar.relay.placement import Placement
 from coltsfootspar.relay.receiving import send_reply
 from coltsfootspar.relay.retries import RetryBudget
 from coltsfootspar.relay.splitting import TrafficSplitter
-from coltsfootspar.routes import Route, RouteMatcher
+from coltsfootspar.routes import Organisation, Route, RouteMatcher
 from coltsfootspar.routing import Candidate
 from coltsfootspar.wire import Address
 
@@ -137,6 +143,8 @@
     :param service: service of the local node, sent along as the caller.
     :param ends_at: when the node ends the requests in progress, trio clock, seconds. A
         request with a later deadline is refused unless it may have run already.
+    :param entry_gate: refuses new requests for which there is no room further on.
+    :param quota_gate: keeps organisations within their rates.
     """
 
     _node_id: str
@@ -151,6 +159,8 @@
     _names: HeaderNames
     counters: RelayCounters = attrs.field(factory=RelayCounters)
     ends_at: float = math.inf
+    entry_gate: EntryGate = attrs.field(factory=OpenEntryGate)
+    quota_gate: QuotaGate = attrs.field(factory=UnlimitedQuotaGate)
     _pools: dict[Address, ConnectionPool] = attrs.field(factory=dict)
 
     async def handle(self, exchange: Exchange) -> None:
@@ -166,10 +176,13 @@
             log_decision("no-route", host=host, path=path, version=self._routes.version)
             await exchange.answer(404, [], b"")
             return
+        organisation = None
         call = self._create_call(exchange, route)
         if not self._ends_in_time(call):
             await self._refuse(exchange, "stopping")
             return
+        if not await self._pass_gates(exchange, route, call, organisation):
+            return
         if not request.is_complete:
             exchange.set_deadline(math.inf, lambda: self._refuse(exchange, "stopping"))
         try:
@@ -177,7 +190,37 @@
         except TooLargeError:
             await exchange.answer(413, [], b"")
             return
-        await self._forward(exchange, route, outgoing)
+        await self._forward(exchange, route, outgoing, organisation)
+
+    async def _pass_gates(
+        self,
+        exchange: Exchange,
+        route: Route,
+        call: Call,
+        organisation: Organisation | None,
+    ) -> bool:
+        """Refuses a request for which there is no room or no allowance.
+
+        :returns: false when the request was refused.
+        """
+        if not call.is_nested:
+            seconds = self.entry_gate.find_refusal(route, call)
+            if seconds is not None:
+                await self._refuse(exchange, "no-room", retry_after=b"%.3f" % seconds)
+                return False
+        if organisation is None:
+            return True
+        try:
+            seconds = await self.quota_gate.acquire(organisation)
+        except RefusedError as error:
+            await self._refuse(exchange, error.code)
+            return False
+        if seconds is None:
+            return True
+        await self._refuse(
+            exchange, "over-quota", retry_after=b"%.3f" % seconds, status=429
+        )
+        return False
 
     def drop_idle(self, now: float) -> None:
         """Closes connections to other nodes that are idle or have ended."""
@@ -218,7 +261,11 @@
         )
 
     async def _forward(
-        self, exchange: Exchange, route: Route, outgoing: OutgoingCall
+        self,
+        exchange: Exchange,
+        route: Route,
+        outgoing: OutgoingCall,
+        organisation: Organisation | None,
     ) -> None:
         state = _RequestState()
         exchange.set_deadline(
@@ -230,6 +277,8 @@
         while await self._try_node(exchange, route, outgoing, state):
             pass
         exchange.clear_deadline()
+        if organisation is not None and not state.backend_attempts:
+            self.quota_gate.refund(organisation)
         if not exchange.has_answered:
             await self._respond_with_failure(exchange, outgoing, state, is_late=False)
 
@@ -256,6 +305,7 @@
             self.counters.retries += 1
         state.tried.add(candidate.node_id)
         reply = await self._send(candidate, outgoing)
+        self.entry_gate.record_reply(route, outgoing.call, reply)
         try:
             if not self._is_final(route, outgoing, state, reply):
                 return True
@@ -453,6 +503,7 @@
         error: str,
         outgoing: OutgoingCall | None = None,
         retry_after: bytes = RETRY_AFTER_SECONDS,
+        status: int = 503,
     ) -> None:
         self.counters.refused += 1
         request = exchange.request
@@ -470,7 +521,7 @@
             (OUTCOME_HEADER, Outcome.NOT_RUN.encode()),
             (ERROR_HEADER, error.encode()),
         ]
-        await exchange.answer(503, headers, b"")
+        await exchange.answer(status, headers, b"")
 
 
 def _create_peer_reply(
--- a/src/coltsfootspar/routes/__init__.py
+++ b/src/coltsfootspar/routes/__init__.py
@@ -5,6 +5,7 @@
 from coltsfootspar.routes.matching import RouteMatcher, create_route_matcher
 from coltsfootspar.routes.model import (
     ClientLimits,
+    Organisation,
     Repetition,
     Route,
     RouteTable,
@@ -14,6 +15,7 @@
 
 __all__ = [
     "ClientLimits",
+    "Organisation",
     "Repetition",
     "Route",
     "RouteMatcher",
--- a/src/coltsfootspar/routes/model.py
+++ b/src/coltsfootspar/routes/model.py
@@ -4,7 +4,15 @@
 
 import attrs
 
-__all__ = ["ClientLimits", "Repetition", "Route", "RouteTable", "Service", "Target"]
+__all__ = [
+    "ClientLimits",
+    "Organisation",
+    "Repetition",
+    "Route",
+    "RouteTable",
+    "Service",
+    "Target",
+]
 
 
 class Repetition(enum.StrEnum):
@@ -34,6 +42,8 @@
     :param target_latency: time within which an answer has its full value, seconds.
     :param attempts: most backend servers that one attempt of a client is sent to.
     :param rank: 0 for the most important requests; larger ones are refused first.
+    :param needs_key: true when requests must carry the key of an organisation, if the
+        table names any.
     """
 
     name: str
@@ -45,6 +55,7 @@
     target_latency: float
     attempts: int
     rank: int
+    needs_key: bool = True
 
     @property
     def is_idempotent(self) -> bool:
@@ -64,6 +75,23 @@
     health_path: str = "/"
 
 
+@attrs.frozen
+class Organisation:
+    """An organisation whose clients identify themselves by a key.
+
+    :param keys: keys in force; a client sends one of them with each request.
+    :param rank: 0 for the most important organisation; goes before the rank of routes.
+    :param rate: requests a second that it may send, over all nodes; 0 for no limit.
+    :param burst: requests that it may send at once beyond the rate.
+    """
+
+    name: str
+    keys: tuple[str, ...] = attrs.field(repr=False)
+    rank: int = 0
+    rate: float = 0.0
+    burst: float = 0.0
+
+
 @attrs.frozen
 class ClientLimits:
     """What a client may send.
@@ -85,6 +113,7 @@
     :param version: number chosen by the operator.
     :param base_version: version that the operator's change was based on.
     :param source: the operator's document, returned unchanged when it is read.
+    :param organisations: without any, no request needs a key.
     """
 
     version: int = 0
@@ -93,3 +122,4 @@
     services: tuple[Service, ...] = ()
     limits: ClientLimits = attrs.field(factory=ClientLimits)
     source: str = ""
+    organisations: tuple[Organisation, ...] = ()
