Identify organisations by their keys at the first node

The first node now looks each key up in an index of the route table, answers 401 for an unknown one, and the server gets the name of the organisation.

--- a/src/coltsfootspar/fleet/node.py
+++ b/src/coltsfootspar/fleet/node.py
@@ -43,6 +43,7 @@
     Forwarder,
     HeaderNames,
     RelayServer,
+    RevocationPolicy,
     TrafficSplitter,
     create_backend_server,
     create_crash_notifier,
@@ -53,7 +54,7 @@
 )
 from coltsfootspar.replication import ReplicationClient, create_replication_client
 from coltsfootspar.routing import Candidate, PeerLinks, create_peer_links
-from coltsfootspar.settings.fleet import FleetNodeSettings
+from coltsfootspar.settings.fleet import FleetBounds, FleetNodeSettings
 from coltsfootspar.timers import TimerService, create_timer_service
 from coltsfootspar.wire import Address
 
@@ -147,6 +148,7 @@
         bounds = settings.bounds
         self.forwarder.set_retry_limits(bounds.repeat_ratio, bounds.repeat_extra)
         self.backend.set_retry_ratio(bounds.repeat_ratio)
+        self.forwarder.identifier.policy = _create_revocation_policy(bounds)
 
     async def run(self, wait_for_stop: Callable[[], Awaitable[None]]) -> int:
         """Runs the node until it is told to stop.
@@ -344,6 +346,7 @@
         backend,
         adapter.names,
     )
+    forwarder.identifier.policy = _create_revocation_policy(bounds)
     fleet_metrics = create_fleet_metrics()
     forwarder.counters.observe_seconds = fleet_metrics.observe_seconds
     receiver = CallReceiver(backend, adapter.names)
@@ -382,14 +385,34 @@
     return node
 
 
+def _create_revocation_policy(bounds: FleetBounds) -> RevocationPolicy:
+    return RevocationPolicy(bounds.revocation_seconds, bounds.stops_when_cut_off)
+
+
 def _add_metrics(fleet_metrics: FleetMetrics, node: FleetNode) -> None:
     counters, limiter = node.forwarder.counters, node.backend.limiter
+    identifier = node.forwarder.identifier
     fleet_metrics.add_counters(
         ("served", "Requests served.", lambda: counters.served),
         ("refused", "Requests refused.", lambda: counters.refused),
         ("failed", "Requests failed.", lambda: counters.failed),
         ("repeats", "Repeated sends.", lambda: counters.retries),
         ("begun", "Calls of begun requests.", lambda: counters.nested),
+        (
+            "unknown_keys",
+            "Requests refused with 401 for a missing or unknown key.",
+            lambda: identifier.unknown_keys,
+        ),
+        (
+            "withdrawn_keys",
+            "Requests whose key was withdrawn before they reached a server.",
+            lambda: identifier.withdrawn_keys,
+        ),
+        (
+            "unconfirmed_keys",
+            "Requests refused since the node may have missed a change of the keys.",
+            lambda: identifier.outdated,
+        ),
         (
             "connections_opened",
             "Connections opened to the backend server.",
@@ -405,6 +428,11 @@
         ("slots_in_use", "Slots in use.", lambda: limiter.in_use),
         ("slots", "Slots of the server.", lambda: limiter.limit),
         ("waiting", "Calls that wait for a slot.", lambda: limiter.load.waiting),
+        (
+            "organisations",
+            "Organisations in the routes.",
+            lambda: len(node.routes.table.organisations),
+        ),
         ("routes_version", "Version in force.", lambda: node.routes.version),
         (
             "blocked_requests",
--- a/src/coltsfootspar/relay/__init__.py
+++ b/src/coltsfootspar/relay/__init__.py
@@ -13,6 +13,7 @@
     create_peer_handler,
 )
 from coltsfootspar.relay.forwarding import Forwarder, RelayCounters
+from coltsfootspar.relay.identification import RevocationPolicy
 from coltsfootspar.relay.limiter import ConcurrencyLimiter, create_concurrency_limiter
 from coltsfootspar.relay.placement import Placement, create_placement
 from coltsfootspar.relay.receiving import CallReceiver
@@ -35,6 +36,7 @@
     "RelayCounters",
     "RelayServer",
     "RetryBudget",
+    "RevocationPolicy",
     "Reply",
     "TrafficSplitter",
     "ConcurrencyLimiter",
--- a/src/coltsfootspar/relay/backend.py
+++ b/src/coltsfootspar/relay/backend.py
@@ -29,6 +29,7 @@
     ConnectionPool,
 )
 from coltsfootspar.relay.crash_guard import CrashGuard, create_crash_guard
+from coltsfootspar.relay.identification import WITHDRAWN_KEY_ERROR
 from coltsfootspar.relay.limiter import ConcurrencyLimiter, create_concurrency_limiter
 from coltsfootspar.relay.messages import Headers, Response
 from coltsfootspar.relay.outgoing import encode_outgoing_call
@@ -324,6 +325,8 @@
             return create_refusal("backend-down")
         if outgoing.call.deadline <= now:
             return create_refusal("deadline")
+        if outgoing.is_key_withdrawn:
+            return create_refusal(WITHDRAWN_KEY_ERROR)
         seconds = self.guard.find_block(outgoing)
         if seconds:
             return _create_block_refusal(seconds, self.limiter.load)
@@ -409,11 +412,14 @@
     def _create_headers(self, call: Call) -> Headers:
         names = self._names
         remaining_ms = max(1, int((call.deadline - trio.current_time()) * 1e3))
-        return [
+        headers = [
             (names.deadline_ms, b"%d" % remaining_ms),
             (names.instance, self.report.instance_id.encode()),
             (names.caller, call.caller.encode()),
         ]
+        if call.is_keyed:
+            headers.append((names.organisation, call.organisation.encode()))
+        return headers
 
     def _is_report_overdue(self) -> bool:
         return trio.current_time() - self._reported_at > REPORT_TIMEOUT_SECONDS
--- a/src/coltsfootspar/relay/calls.py
+++ b/src/coltsfootspar/relay/calls.py
@@ -2,6 +2,7 @@
 
 import enum
 import functools
+import urllib.parse
 from collections.abc import Awaitable, Callable
 
 import attrs
@@ -10,6 +11,7 @@
 from coltsfootspar.calls import Outcome
 from coltsfootspar.exceptions import MalformedRequestError
 from coltsfootspar.relay.client import ClientConnection, StreamedBody
+from coltsfootspar.relay.identification import Identity
 from coltsfootspar.relay.messages import Headers, Response, filter_headers
 
 __all__ = [
@@ -64,6 +66,8 @@
 _SEPARATOR = b";"
 # Fields of the first version; the later ones are optional and follow them.
 _MIN_CALL_FIELDS = 7
+_DEFAULT_LATER_FIELDS = (b"", b"0", b"0", b"0")
+_MAX_CACHED_NAMES = 4096
 
 
 @attrs.frozen
@@ -129,6 +133,8 @@
     :param bucket: number from 0 to :data:`BUCKETS` - 1, the same for a request and all
         calls made for it. Of requests of equal rank, those of high buckets are refused
         first, so that all nodes choose the same ones.
+    :param is_keyed: true when the request itself carried a key of the organisation;
+        only then the backend server gets the name of the organisation.
     """
 
     service: str
@@ -141,6 +147,12 @@
     organisation: str = ""
     organisation_rank: int = 0
     bucket: int = 0
+    is_keyed: bool = False
+
+    @property
+    def importance(self) -> tuple[int, int]:
+        """Ranks of organisation and route; smaller values go first."""
+        return self.organisation_rank, self.rank
 
     @property
     def is_nested(self) -> bool:
@@ -209,6 +221,7 @@
     :param stream: source of a body that is too long to buffer.
     :param sent_to: ids of the nodes and backend servers that it was sent to.
     :param streamed_digest: digest of a request whose body is streamed.
+    :param identity: organisation whose key the request carries, at its first node.
     """
 
     call: Call
@@ -220,12 +233,18 @@
     stream: StreamedBody | None = None
     sent_to: set[str] = attrs.field(factory=set)
     streamed_digest: int = 0
+    identity: Identity | None = None
 
     @property
     def is_retryable(self) -> bool:
         """True when the request may run more than once and its body is buffered."""
         return self.call.is_idempotent and self.stream is None
 
+    @property
+    def is_key_withdrawn(self) -> bool:
+        """True once the key that the request carries is no longer in force."""
+        return self.identity is not None and not self.identity.is_in_force
+
     @property
     def has_whole_body(self) -> bool:
         """False once a part of a streamed body has been read."""
@@ -313,9 +332,10 @@
             b"%d" % call.priority_class,
             b"%d" % int(call.target_latency * 1e3),
             call.caller.encode(),
-            call.organisation.encode(),
+            _encode_name(call.organisation),
             b"%d" % call.organisation_rank,
             b"%d" % call.bucket,
+            b"%d" % call.is_keyed,
         )
     )
 
@@ -329,7 +349,7 @@
     fields = (value or b"").split(_SEPARATOR)
     if len(fields) < _MIN_CALL_FIELDS:
         raise MalformedRequestError("the call header is missing or malformed")
-    fields += [b"", b"0", b"0"][len(fields) - _MIN_CALL_FIELDS :]
+    fields += _DEFAULT_LATER_FIELDS[len(fields) - _MIN_CALL_FIELDS :]
     try:
         return Call(
             service=fields[0].decode(),
@@ -339,14 +359,21 @@
             priority_class=PriorityClass(int(fields[4])),
             target_latency=int(fields[5]) / 1e3,
             caller=fields[6].decode(),
-            organisation=fields[7].decode(),
+            organisation=urllib.parse.unquote(fields[7].decode()),
             organisation_rank=int(fields[8]),
             bucket=int(fields[9]),
+            is_keyed=fields[10] == b"1",
         )
     except ValueError as error:
         raise MalformedRequestError(f"malformed call header: {error}") from error
 
 
+@functools.lru_cache(_MAX_CACHED_NAMES)
+def _encode_name(name: str) -> bytes:
+    """Encodes a name that may hold the separator of the call header."""
+    return urllib.parse.quote(name).encode()
+
+
 def encode_load(load: Load) -> bytes:
     """Encodes a load for the load header of a reply."""
     return b"%d/%d/%d" % (load.in_use, load.limit, load.waiting)
--- a/src/coltsfootspar/relay/forwarding.py
+++ b/src/coltsfootspar/relay/forwarding.py
@@ -38,6 +38,13 @@
     QuotaGate,
     UnlimitedQuotaGate,
 )
+from coltsfootspar.relay.identification import (
+    UNAUTHORIZED,
+    WITHDRAWN_KEY_ERROR,
+    Identifier,
+    KeyView,
+    find_refusal_status,
+)
 from coltsfootspar.relay.messages import Request, Response
 from coltsfootspar.relay.outgoing import create_outgoing_call, encode_outgoing_call
 from coltsfootspar.relay.placement import Placement
@@ -81,8 +88,8 @@
         """Returns the address at which a node accepts calls from other nodes."""
 
 
-class RouteView(Protocol):
-    """Provides the routes in force."""
+class RouteView(KeyView, Protocol):
+    """Provides the routes and keys in force."""
 
     @property
     def version(self) -> int:
@@ -145,6 +152,7 @@
         request with a later deadline is refused unless it may have run already.
     :param entry_gate: refuses new requests for which there is no room further on.
     :param quota_gate: keeps organisations within their rates.
+    :param identifier: looks up the organisation of a request by its key.
     """
 
     _node_id: str
@@ -161,8 +169,13 @@
     ends_at: float = math.inf
     entry_gate: EntryGate = attrs.field(factory=OpenEntryGate)
     quota_gate: QuotaGate = attrs.field(factory=UnlimitedQuotaGate)
+    identifier: Identifier = attrs.field(init=False)
     _pools: dict[Address, ConnectionPool] = attrs.field(factory=dict)
 
+    @identifier.default
+    def _create_identifier(self) -> Identifier:
+        return Identifier(self._routes)
+
     async def handle(self, exchange: Exchange) -> None:
         """Routes a caller's request and responds to it."""
         request = exchange.request
@@ -176,8 +189,15 @@
             log_decision("no-route", host=host, path=path, version=self._routes.version)
             await exchange.answer(404, [], b"")
             return
-        organisation = None
-        call = self._create_call(exchange, route)
+        try:
+            identity = self.identifier.identify(
+                route, request.find(self._names.key.lower())
+            )
+        except RefusedError as error:
+            await self._refuse(exchange, error.code)
+            return
+        organisation = identity.organisation if identity is not None else None
+        call = _add_organisation(self._create_call(exchange, route), organisation)
         if not self._ends_in_time(call):
             await self._refuse(exchange, "stopping")
             return
@@ -186,7 +206,7 @@
         if not request.is_complete:
             exchange.set_deadline(math.inf, lambda: self._refuse(exchange, "stopping"))
         try:
-            outgoing = await create_outgoing_call(exchange, call, self._names)
+            outgoing = await create_outgoing_call(exchange, call, self._names, identity)
         except TooLargeError:
             await exchange.answer(413, [], b"")
             return
@@ -296,6 +316,9 @@
         if not (state.may_have_run or self._ends_in_time(outgoing.call)):
             state.error = "stopping"
             return False
+        if outgoing.is_key_withdrawn:
+            state.error = WITHDRAWN_KEY_ERROR
+            return False
         service = outgoing.call.service
         candidates = self._directory.list_candidates(service)
         candidate = self._placement.choose(candidates, state.tried)
@@ -503,27 +526,49 @@
         error: str,
         outgoing: OutgoingCall | None = None,
         retry_after: bytes = RETRY_AFTER_SECONDS,
-        status: int = 503,
+        status: int | None = None,
     ) -> None:
+        """Refuses a request that has not run.
+
+        :param status: None chooses the one of the error.
+        """
         self.counters.refused += 1
+        if error == WITHDRAWN_KEY_ERROR:
+            self.identifier.withdrawn_keys += 1
+        if status is None:
+            status = find_refusal_status(error)
         request = exchange.request
         log_decision(
             "refused",
             request=request.find(self._names.request_id.lower()),
             service=outgoing.call.service if outgoing else "",
             error=error,
+            status=status,
             version=self._routes.version,
         )
         if error == "stopping":
             retry_after = STOPPING_RETRY_AFTER_SECONDS
         headers = [
-            (RETRY_AFTER_HEADER, retry_after),
             (OUTCOME_HEADER, Outcome.NOT_RUN.encode()),
             (ERROR_HEADER, error.encode()),
         ]
+        if status != UNAUTHORIZED:
+            headers.append((RETRY_AFTER_HEADER, retry_after))
         await exchange.answer(status, headers, b"")
 
 
+def _add_organisation(call: Call, organisation: Organisation | None) -> Call:
+    """Returns the call for a request that carries a key of an organisation."""
+    if organisation is None:
+        return call
+    return attrs.evolve(
+        call,
+        organisation=organisation.name,
+        organisation_rank=organisation.rank,
+        is_keyed=True,
+    )
+
+
 def _create_peer_reply(
     pool: ConnectionPool, connection: ClientConnection, response: Response
 ) -> Reply:
--- a/src/coltsfootspar/relay/limiter.py
+++ b/src/coltsfootspar/relay/limiter.py
@@ -1,8 +1,9 @@
 """Concurrency limit of a backend server, with a priority queue.
 
 Handles the overload of a service that receives more calls than its slots can
-serve: nested calls go first, then calls of a more important route, and a call that
-could not be answered in time is refused on arrival.
+serve: nested calls go first, then calls of a more important organisation, then of a
+more important route, then in a fair order of the organisations, and a call that could
+not be answered in time is refused on arrival.
 """
 
 import itertools
@@ -14,6 +15,7 @@
 
 from coltsfootspar.exceptions import RefusedError
 from coltsfootspar.relay.calls import Call, Load, PriorityClass
+from coltsfootspar.relay.fairness import FairQueueing
 
 __all__ = ["ConcurrencyLimiter", "create_concurrency_limiter"]
 
@@ -27,13 +29,18 @@
 
 @attrs.define(eq=False)
 class _Waiter:
-    # Priority class, rank of the route, order of arrival.
-    sort_key: tuple[int, int, int]
+    # Priority class, ranks of organisation and route, fair order, order of arrival.
+    sort_key: tuple[int, int, int, float, int]
     call: Call
     task: trio.lowlevel.Task
     # The call is refused unless it has a slot by then; trio clock, seconds.
     latest_start: float
 
+    @property
+    def tag(self) -> float:
+        """Tag of the fair order."""
+        return self.sort_key[-2]
+
 
 @attrs.define(eq=False)
 class ConcurrencyLimiter:
@@ -54,6 +61,7 @@
     _queue: SortedKeyList = attrs.field(
         factory=lambda: SortedKeyList(key=lambda waiter: waiter.sort_key)
     )
+    _fair_queueing: FairQueueing = attrs.field(factory=FairQueueing)
     _sequence: itertools.count = attrs.field(factory=itertools.count)
 
     @property
@@ -96,7 +104,8 @@
             return
         now = trio.current_time()
         latest_start = self._compute_latest_start(call, now)
-        sort_key = (call.priority_class, call.rank, next(self._sequence))
+        tag = self._fair_queueing.compute_tag(call)
+        sort_key = (call.priority_class, *call.importance, tag, next(self._sequence))
         ahead = self._queue.bisect_key_left(sort_key) + 1
         if now + self._estimate_wait(ahead) > latest_start:
             raise RefusedError(
@@ -104,10 +113,11 @@
             )
         waiter = _Waiter(sort_key, call, trio.lowlevel.current_task(), latest_start)
         self._queue.add(waiter)
+        self._fair_queueing.add(call, tag)
         self._refuse_overtaken(now)
 
         def abort(_: object) -> trio.lowlevel.Abort:
-            self._queue.remove(waiter)
+            self._remove(waiter)
             return trio.lowlevel.Abort.SUCCEEDED
 
         await trio.lowlevel.wait_task_rescheduled(abort)
@@ -161,6 +171,7 @@
                 self._refuse(waiter, "overload")
                 continue
             del self._queue[0]
+            self._fair_queueing.start(waiter.call, waiter.tag)
             self.in_use += 1
             trio.lowlevel.reschedule(waiter.task)
 
@@ -178,10 +189,14 @@
             self._refuse(lowest, "overload")
 
     def _refuse(self, waiter: _Waiter, code: str) -> None:
-        self._queue.remove(waiter)
+        self._remove(waiter)
         error = RefusedError("refused while waiting for a slot", code=code)
         trio.lowlevel.reschedule(waiter.task, outcome.Error(error))
 
+    def _remove(self, waiter: _Waiter) -> None:
+        self._queue.remove(waiter)
+        self._fair_queueing.remove(waiter.call, waiter.tag)
+
 
 def create_concurrency_limiter() -> ConcurrencyLimiter:
     """Creates a limiter without slots.
--- a/src/coltsfootspar/relay/outgoing.py
+++ b/src/coltsfootspar/relay/outgoing.py
@@ -8,6 +8,7 @@
 )
 from coltsfootspar.relay.client import OutgoingRequest, StreamedBody
 from coltsfootspar.relay.connections import Exchange
+from coltsfootspar.relay.identification import Identity
 from coltsfootspar.relay.messages import Headers, encode_request, filter_headers
 
 __all__ = ["create_outgoing_call", "encode_outgoing_call"]
@@ -17,12 +18,16 @@
 
 
 async def create_outgoing_call(
-    exchange: Exchange, call: Call, names: HeaderNames
+    exchange: Exchange,
+    call: Call,
+    names: HeaderNames,
+    identity: Identity | None = None,
 ) -> OutgoingCall:
     """Creates the call for a request, buffering its body if it is short enough.
 
     A longer body is streamed, and the call cannot be retried then.
 
+    :param identity: organisation whose key the request carries.
     :raises TransferError: when the caller disconnects.
     :raises TooLargeError: when the body exceeds the limit for clients.
     """
@@ -49,6 +54,7 @@
         stream=stream,
         sent_to=exchange.sent_to,
         streamed_digest=streamed_digest,
+        identity=identity,
     )
 
 
--- a/src/coltsfootspar/relay/tests/conftest.py
+++ b/src/coltsfootspar/relay/tests/conftest.py
@@ -24,6 +24,7 @@
     RouteTable,
     Service,
     Target,
+    create_key_index,
     create_route_matcher,
 )
 from coltsfootspar.routing import Candidate
@@ -56,6 +57,7 @@
     """Routes in force, set by the test."""
 
     table: RouteTable
+    unconfirmed_seconds: float = 0.0
 
     @property
     def version(self) -> int:
@@ -65,6 +67,10 @@
     def matcher(self):
         return create_route_matcher(self.table)
 
+    @property
+    def keys(self):
+        return create_key_index(self.table)
+
 
 @attrs.define(eq=False)
 class FakeDirectory:
--- a/src/coltsfootspar/replication/client.py
+++ b/src/coltsfootspar/replication/client.py
@@ -230,12 +230,18 @@
             "no replica sent the active version of the routes", may_have_run=False
         )
 
-    async def watch_routes(self) -> AsyncIterator[RouteTable]:
+    async def watch_routes(
+        self, on_confirmed: Callable[[float], None] = lambda asked_at: None
+    ) -> AsyncIterator[RouteTable]:
         """Yields the present route table and then each newer one, without end.
 
         Versions only increase; version 0, without routes, is not yielded. Moves on
         to the next replica when one does not answer or is partitioned from the
         leader.
+
+        :param on_confirmed: called once a replica in touch with the leader has no newer
+            version than those yielded, with the time at which it was asked, trio
+            clock, seconds.
         """
         version, position = 0, 0
         margin = _MIN_ROUTES_MARGIN_SECONDS
@@ -245,7 +251,8 @@
                 int(_WATCH_ROUTES_SECONDS * _MS_PER_SECOND),
                 FrameKind.WATCH_ROUTES,
             )
-            ends_at = trio.current_time() + _WATCH_ROUTES_SECONDS + margin
+            asked_at = trio.current_time()
+            ends_at = asked_at + _WATCH_ROUTES_SECONDS + margin
             reply = await self._try_read(
                 self._get_replica_at(position),
                 message,
@@ -264,6 +271,8 @@
             if reply is None or not reply.is_current or is_unreadable:
                 position += 1
                 await self._back_off()
+            elif reply.version >= version:
+                on_confirmed(asked_at)
 
     async def note_departures(
         self, node_id: str, departures: Sequence[Departure], timeout: float
--- a/src/coltsfootspar/routes/__init__.py
+++ b/src/coltsfootspar/routes/__init__.py
@@ -2,6 +2,7 @@
 
 from coltsfootspar.routes.checks import check_routes
 from coltsfootspar.routes.codec import decode_routes, encode_routes
+from coltsfootspar.routes.keys import KeyIndex, create_key_index
 from coltsfootspar.routes.matching import RouteMatcher, create_route_matcher
 from coltsfootspar.routes.model import (
     ClientLimits,
@@ -15,6 +16,7 @@
 
 __all__ = [
     "ClientLimits",
+    "KeyIndex",
     "Organisation",
     "Repetition",
     "Route",
@@ -23,6 +25,7 @@
     "Service",
     "Target",
     "check_routes",
+    "create_key_index",
     "create_route_matcher",
     "decode_routes",
     "encode_routes",
--- a/src/coltsfootspar/routes/checks.py
+++ b/src/coltsfootspar/routes/checks.py
@@ -3,7 +3,7 @@
 import collections
 import math
 
-from coltsfootspar.routes.model import Route, RouteTable
+from coltsfootspar.routes.model import Organisation, Route, RouteTable
 
 __all__ = ["check_routes"]
 
@@ -30,7 +30,7 @@
             for target in route.targets
             if target.service not in services
         ]
-    return problems
+    return problems + _check_organisations(table.organisations)
 
 
 def _check(route: Route) -> list[str]:
@@ -49,3 +49,40 @@
     elif sum(weights) <= 0:
         problems.append("all weights are 0")
     return problems
+
+
+def _check_organisations(organisations: tuple[Organisation, ...]) -> list[str]:
+    """Lists the faults of organisations, without their keys."""
+    problems = []
+    holders: dict[str, str] = {}
+    names = collections.Counter(organisation.name for organisation in organisations)
+    for name, count in names.items():
+        if count > 1:
+            problems.append(f"{count} organisations share the name {name!r}")
+    for organisation in organisations:
+        name = organisation.name
+        problems += [
+            f"organisation {name!r}: {text}"
+            for text in _check_organisation(organisation)
+        ]
+        for key in set(organisation.keys):
+            holder = holders.setdefault(key, name)
+            if holder != name:
+                problems.append(f"organisations {holder!r} and {name!r} share a key")
+    return problems
+
+
+def _check_organisation(organisation: Organisation) -> list[str]:
+    problems = []
+    if not _is_header_value(organisation.name):
+        problems.append("the name is not a header value")
+    if not all(_is_header_value(key) for key in organisation.keys):
+        problems.append("a key is not a header value")
+    allowance = (organisation.rate, organisation.burst)
+    if not all(math.isfinite(value) and value >= 0 for value in allowance):
+        problems.append("the rate or the burst is below 0")
+    return problems
+
+
+def _is_header_value(text: str) -> bool:
+    return bool(text) and text.isprintable() and text == text.strip()
--- a/src/coltsfootspar/routes/model.py
+++ b/src/coltsfootspar/routes/model.py
@@ -112,7 +112,8 @@
 
     :param version: number chosen by the operator.
     :param base_version: version that the operator's change was based on.
-    :param source: the operator's document, returned unchanged when it is read.
+    :param source: the operator's document, returned unchanged when it is read; it
+        holds the keys.
     :param organisations: without any, no request needs a key.
     """
 
@@ -121,5 +122,5 @@
     routes: tuple[Route, ...] = ()
     services: tuple[Service, ...] = ()
     limits: ClientLimits = attrs.field(factory=ClientLimits)
-    source: str = ""
+    source: str = attrs.field(default="", repr=False)
     organisations: tuple[Organisation, ...] = ()
--- a/src/coltsfootspar/settings/fleet.py
+++ b/src/coltsfootspar/settings/fleet.py
@@ -31,12 +31,17 @@
     :param repeat_ratio: repeats for each request of a service, over all nodes.
     :param repeat_extra: repeats allowed besides in each window, over all nodes.
     :param repeat_window_seconds: length of the window of both.
+    :param revocation_seconds: time for which a node that is cut off from the replicas
+        may go on to take keys, if it stops at all.
+    :param stops_when_cut_off: true when it refuses requests with keys after that.
     """
 
     grace_seconds: float = attrs.field(default=6.0, validator=_check_positive)
     repeat_ratio: float = 0.2
     repeat_extra: float = 40.0
     repeat_window_seconds: float = attrs.field(default=10.0, validator=_check_positive)
+    revocation_seconds: float = attrs.field(default=5.0, validator=_check_positive)
+    stops_when_cut_off: bool = False
 
 
 @attrs.frozen(kw_only=True)
