--- a/src/coltsfootspar/replication/tests/test_watching.py
+++ b/src/coltsfootspar/replication/tests/test_watching.py
@@ -4,6 +4,8 @@
 they waited at a replica that did not know of the change and did not tell them so.
 """
 
+import itertools
+
 import pytest
 import trio
 
@@ -106,3 +108,31 @@
             await trio.sleep(60)
             assert 1 in arrivals
             nursery.cancel_scope.cancel()
+
+
+async def test_routes_are_confirmed_only_in_touch_with_the_leader(autojump_clock):
+    """Guards against a node that takes its routes for current while it is cut off.
+
+    It would serve withdrawn keys longer than operators allow, or deny new ones.
+    """
+    async with open_cluster(options=FLEET_OPTIONS) as cluster:
+        await cluster.wait_leader()
+        await cluster.create_client("writer").replace_routes(create_change(1))
+        watcher = cluster.create_client("watcher")
+        confirmations = []
+
+        async def watch_confirmed():
+            async for _ in watcher.watch_routes(confirmations.append):
+                pass
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(watch_confirmed)
+            await trio.sleep(20)
+            gaps = [b - a for a, b in itertools.pairwise(confirmations)]
+            assert trio.current_time() - confirmations[-1] <= APPLY_SECONDS
+            assert max(gaps) <= APPLY_SECONDS
+            cut_at = trio.current_time()
+            cluster.isolate("watcher")
+            await trio.sleep(20)
+            assert confirmations[-1] <= cut_at
+            nursery.cancel_scope.cancel()
