Start requests that callers send ahead

Callers may send further requests before the first is answered. Each of them now starts at once, within bounds on requests and bytes for each connection, and the responses go out in the order of the requests. Requests that must not run twice wait for their turn. A fault behind a whole request no longer takes its response, and a read of thousands of short requests is parsed in slices.

--- a/src/coltsfootspar/fleet/node.py
+++ b/src/coltsfootspar/fleet/node.py
@@ -36,6 +36,7 @@
 from coltsfootspar.logs import log_decision
 from coltsfootspar.membership import Membership, open_udp_port
 from coltsfootspar.relay import (
+    AheadLimits,
     BackendServer,
     CallReceiver,
     CrashNotifier,
@@ -368,7 +369,10 @@
         routes=routes,
         backend=backend,
         forwarder=forwarder,
-        outbound=create_relay_server(forwarder.handle),
+        outbound=create_relay_server(
+            forwarder.handle,
+            AheadLimits(settings.requests_ahead, settings.bytes_ahead),
+        ),
         inbound=create_relay_server(create_peer_handler(receiver.handle, notifier)),
         receiver=receiver,
         notifier=notifier,
@@ -390,6 +394,11 @@
         ("failed", "Requests failed.", lambda: counters.failed),
         ("repeats", "Repeated sends.", lambda: counters.retries),
         ("begun", "Calls of begun requests.", lambda: counters.nested),
+        (
+            "connections_ahead",
+            "Connections of callers on which a request was sent ahead.",
+            lambda: node.outbound.connections_ahead,
+        ),
         (
             "connections_opened",
             "Connections opened to the backend server.",
--- a/src/coltsfootspar/relay/__init__.py
+++ b/src/coltsfootspar/relay/__init__.py
@@ -1,5 +1,6 @@
 """Data path: forwards requests of callers through nodes to backend servers."""
 
+from coltsfootspar.relay.ahead import AheadLimits
 from coltsfootspar.relay.backend import (
     BackendReport,
     BackendServer,
@@ -21,6 +22,7 @@
 from coltsfootspar.relay.splitting import TrafficSplitter
 
 __all__ = [
+    "AheadLimits",
     "BackendReport",
     "BackendServer",
     "Call",
--- a/src/coltsfootspar/relay/connections.py
+++ b/src/coltsfootspar/relay/connections.py
@@ -1,5 +1,7 @@
 """Connections of callers and the requests on them."""
 
+import collections
+import contextlib
 import math
 import socket
 from collections.abc import Awaitable, Callable
@@ -14,6 +16,7 @@
     TooLargeError,
     TransferError,
 )
+from coltsfootspar.relay.ahead import AheadLimits, HeldAnswer, ReadAhead
 from coltsfootspar.relay.messages import (
     LAST_CHUNK,
     Headers,
@@ -24,9 +27,10 @@
     encode_response,
 )
 from coltsfootspar.relay.sockets import peek, receive, send_all, wait_readable
+from coltsfootspar.relay.watching import InputWatcher
 from coltsfootspar.routes import ClientLimits
 
-__all__ = ["Connection", "ConnectionOwner", "Exchange", "Handler"]
+__all__ = ["Connection", "ConnectionOwner", "Exchange", "Handler", "log_failure"]
 
 _DISCARD_TIMEOUT_SECONDS = 2.0
 _MAX_DISCARDED_BYTES = 64 << 20
@@ -38,16 +42,24 @@
 
     :param exchanges: requests in progress.
     :param is_draining: true when connections close after the next response.
+    :param ahead_limits: bounds on requests sent ahead; None serves the requests of a
+        connection one after the other.
+    :param watcher: notices requests sent ahead; None without limits for them.
     """
 
     handler: "Handler"
     limits: ClientLimits
     exchanges: set["Exchange"]
     is_draining: bool
+    ahead_limits: AheadLimits | None
+    watcher: InputWatcher | None
 
     def add_exchange(self, exchange: "Exchange") -> None:
         """Adds a request in progress."""
 
+    def start_reading_ahead(self, ahead: ReadAhead) -> None:
+        """Starts the task that reads the further requests of a connection."""
+
 
 @attrs.define(eq=False)
 class Exchange:
@@ -61,6 +73,9 @@
     :param deadline: trio clock, seconds.
     :param on_deadline: sends the response when the deadline ends the handler.
     :param sent_to: ids of the nodes and backend servers that the request was sent to.
+    :param turn: set once the requests before it on the connection are answered; None
+        when there were none.
+    :param cancel_scope: surrounds the handler.
     """
 
     request: Request
@@ -71,6 +86,38 @@
     deadline: float = math.inf
     on_deadline: Callable[[], Awaitable[None]] | None = None
     sent_to: set[str] = attrs.field(factory=set)
+    turn: trio.Event | None = None
+    cancel_scope: trio.CancelScope = attrs.field(
+        default=attrs.Factory(
+            lambda self: self._connection.cancel_scope, takes_self=True
+        )
+    )
+    _held_answer: HeldAnswer | None = None
+    _held_answer_bytes: int = 0
+
+    @property
+    def connection(self) -> "Connection":
+        """Connection on which the request arrived."""
+        return self._connection
+
+    @property
+    def is_behind(self) -> bool:
+        """True while an earlier request on the connection is not answered."""
+        return self.turn is not None and not self.turn.is_set()
+
+    @property
+    def held_bytes(self) -> int:
+        """Size of the body received and of the answer that waits for its turn."""
+        return self.request.received_bytes + self._held_answer_bytes
+
+    async def wait_for_turn(self) -> None:
+        """Waits until the earlier requests on the connection are answered.
+
+        A request that must not run twice may start only then: if the connection
+        ended before, its caller would send it again.
+        """
+        if self.turn is not None:
+            await self.turn.wait()
 
     @property
     def caller_host(self) -> str:
@@ -86,6 +133,8 @@
         """
         request = self.request
         while not request.is_complete and request.received_bytes <= limit:
+            if self.turn is not None:
+                await self._wait_for_room()
             if request.received_bytes:
                 await trio.lowlevel.checkpoint()
             await self._connection.read_more(request)
@@ -99,17 +148,27 @@
         request = self.request
         await trio.lowlevel.checkpoint()
         while not request.body_parts and not request.is_complete:
+            if self.turn is not None:
+                await self._wait_for_room()
             await self._connection.read_more(request)
         return request.take_body()
 
+    async def _wait_for_room(self) -> None:
+        if self._connection.is_full:
+            await self.wait_for_turn()
+
     async def answer(
         self, status: int, headers: Headers, body: bytes, reason: bytes = b""
     ) -> None:
-        """Sends a complete response.
+        """Sends a complete response, or keeps it until its turn.
 
         :raises TransferError: when the caller has disconnected.
         """
         self.has_answered = True
+        if self.is_behind:
+            self._held_answer = HeldAnswer(status, headers, body, reason)
+            self._held_answer_bytes = len(body)
+            return
         if not self._keeps_connection():
             headers = headers + _CLOSE_HEADERS
         data = encode_response(status, headers, body, reason)
@@ -118,6 +177,16 @@
         await send_all(connection.sock, data)
         connection.is_broken = was_broken
 
+    async def deliver(self) -> None:
+        """Sends the response that was kept, in its turn.
+
+        :raises TransferError: when the caller has disconnected.
+        """
+        await self.wait_for_turn()
+        held, self._held_answer = self._held_answer, None
+        if held is not None:
+            await self.answer(held.status, held.headers, held.body, held.reason)
+
     async def stream_response(
         self,
         response: Response,
@@ -126,10 +195,19 @@
     ) -> None:
         """Sends a response and streams its body.
 
+        Before its turn, the body is read as far as the connection may hold it; a whole
+        one is then kept as a complete response.
+
         :param read: returns the next piece of the body; empty at its end.
         :raises TransferError: when either connection ends early; the caller can then
             detect that the response is incomplete.
         """
+        start = b""
+        if self.is_behind:
+            start, is_complete = await self._read_until_turn(read)
+            if is_complete:
+                await self.answer(response.status, headers, start, response.reason)
+                return
         self.has_answered = True
         length = response.content_length
         if length is not None:
@@ -142,18 +220,43 @@
         connection.is_broken = True
         head = encode_response(response.status, headers, None, response.reason)
         await send_all(connection.sock, head)
-        while data := await read():
+        while data := start or await read():
+            start, self._held_answer_bytes = b"", 0
             await send_all(connection.sock, data if length else encode_chunk(data))
         if length is None:
             await send_all(connection.sock, LAST_CHUNK)
         connection.is_broken = False
 
+    async def _read_until_turn(
+        self, read: Callable[[], Awaitable[bytes]]
+    ) -> tuple[bytes, bool]:
+        """Reads the beginning of a body before the response may be sent.
+
+        :returns: what was read, and whether this is the whole body.
+        """
+        start = bytearray()
+        while self.is_behind and not self._connection.is_full:
+            data = await read()
+            if not data:
+                return bytes(start), True
+            start += data
+            self._held_answer_bytes = len(start)
+        await self.wait_for_turn()
+        return bytes(start), False
+
     def _keeps_connection(self) -> bool:
-        request, server = self.request, self._connection.server
-        if server.is_draining or not request.keeps_connection:
-            self._connection.is_last_request = True
-            return False
-        return True
+        """Decides whether the connection stays open after this response.
+
+        Requests behind this one may have been passed on, and have to be answered
+        first.
+        """
+        request, connection = self.request, self._connection
+        if not connection.server.is_draining and request.keeps_connection:
+            return True
+        if connection.has_request_behind(self):
+            return True
+        connection.end_reading()
+        return False
 
     def set_deadline(
         self,
@@ -183,13 +286,7 @@
     def cancel(self) -> None:
         """Cancels the handler."""
         self.is_cancelled = True
-        self._connection.cancel_scope.cancel()
-
-    def cancel_if_disconnected(self) -> None:
-        """Cancels the exchange if the caller has closed the connection."""
-        if peek(self._connection.sock) == b"":
-            self.has_disconnected = True
-            self.cancel()
+        self.cancel_scope.cancel()
 
     @property
     def needs_late_response(self) -> bool:
@@ -207,11 +304,12 @@
 
     :param is_last_request: true when the connection closes after the response.
     :param is_broken: true when the connection serves no further request.
-    :param is_idle: true while no byte of a request has been received.
+    :param is_idle: true while no byte of a further request has been received.
     :param waiting_since: start of the idle time or of the incomplete head, trio
         clock, seconds.
     :param cancel_scope: surrounds all requests until one is cancelled, since a scope
-        for each request is dear.
+        for each request is dear; once requests are read ahead, only the reading.
+    :param exchanges: requests that are not answered yet, in the order of arrival.
     """
 
     server: ConnectionOwner
@@ -225,23 +323,43 @@
     is_reading_head: bool = False
     is_head_timed_out: bool = False
     cancel_scope: trio.CancelScope = attrs.field(factory=trio.CancelScope)
+    exchanges: collections.deque[Exchange] = attrs.field(factory=collections.deque)
+    _last_request: Request | None = None
     _exchange: Exchange | None = None
+    _ahead: ReadAhead | None = None
 
     async def run(self) -> None:
         """Serves requests until either side closes the connection."""
         try:
-            while not self.is_last_request and not self.is_broken:
+            while self._may_continue():
                 self.cancel_scope = trio.CancelScope()
-                with self.cancel_scope:
-                    await self._serve_requests()
+                try:
+                    with self.cancel_scope:
+                        await self._serve_requests()
+                except Exception as error:
+                    if self._ahead is None:
+                        raise
+                    # The requests behind this one are still to be answered.
+                    log_failure(error)
                 if self._exchange is not None:
                     await self._finish_cancelled(self._exchange)
+            if self._ahead is not None:
+                await self._ahead.has_ended.wait()
         finally:
             if self._exchange is not None:
                 self._remove_exchange(self._exchange)
-        if self.is_head_timed_out:
+            if self._ahead is not None:
+                self._ahead.cancel()
+        self.is_idle = self.is_reading_head = False
+        if self.is_last_request:
+            await self._discard_requests_behind()
+        elif self.is_head_timed_out:
             await self._reject(408)
 
+    def _may_continue(self) -> bool:
+        is_ended = self.is_last_request or self.is_broken
+        return not is_ended and self._ahead is None
+
     def enforce_read_timeouts(self, now: float) -> None:
         """Closes a connection that is idle or receives a head for too long.
 
@@ -249,7 +367,7 @@
         """
         limits = self.server.limits
         if self.is_idle:
-            if now - self.waiting_since > limits.idle_seconds:
+            if not self.exchanges and now - self.waiting_since > limits.idle_seconds:
                 self.close_idle()
         elif self.is_reading_head and now - self.waiting_since > limits.header_seconds:
             self.is_head_timed_out = True
@@ -257,7 +375,7 @@
 
     def close_idle(self) -> None:
         """Closes the connection unless a request has started or is waiting unread."""
-        if self.is_idle and peek(self.sock) is None:
+        if self.is_idle and not self.exchanges and peek(self.sock) is None:
             self._end()
 
     @property
@@ -265,34 +383,128 @@
         """True when a request has arrived that its task has not begun to read."""
         return self.is_idle and bool(peek(self.sock))
 
-    def _end(self) -> None:
+    @property
+    def held_bytes(self) -> int:
+        """Bytes held for requests that are not answered: bodies and kept answers."""
+        return sum(exchange.held_bytes for exchange in self.exchanges)
+
+    @property
+    def is_full(self) -> bool:
+        """True when the connection holds as many bytes as it may."""
+        limits = self.server.ahead_limits
+        return limits is not None and self.held_bytes >= limits.held_bytes
+
+    @property
+    def has_read_body(self) -> bool:
+        """True when the last request has been read to its end."""
+        return self._last_request is None or self._last_request.is_complete
+
+    def has_request_behind(self, exchange: Exchange) -> bool:
+        """Tells whether a later request has been started."""
+        return bool(self.exchanges) and self.exchanges[-1] is not exchange
+
+    def end_reading(self) -> None:
+        """Reads no further request: the present response closes the connection."""
+        self.is_last_request = True
+        if self._ahead is not None:
+            self.cancel_scope.cancel()
+
+    def abort(self) -> None:
+        """Ends all requests without a response."""
         self.is_broken = True
+        for exchange in self.exchanges:
+            exchange.has_disconnected = True
+            exchange.cancel()
+        if self._ahead is not None:
+            self._ahead.cancel()
+
+    def _end(self) -> None:
+        if self._ahead is None:
+            self.is_broken = True
         self.cancel_scope.cancel()
 
+    def notice_input(self) -> None:
+        """Starts to read ahead when a further request has arrived."""
+        exchange = self.exchanges[0] if self.exchanges else None
+        if exchange is None or self._ahead is not None:
+            return
+        if self.has_read_body and peek(self.sock):
+            self._start_reading_ahead()
+
+    def _watch_input(self) -> None:
+        """Notices the next request while the present one is in progress."""
+        request = self._last_request
+        if not request.keeps_connection or self.server.is_draining:
+            return
+        if self.reader.has_input:
+            self._start_reading_ahead()
+        else:
+            self.server.watcher.arm(self.sock.fileno())
+
+    def _start_reading_ahead(self) -> None:
+        self.cancel_scope = trio.CancelScope()
+        self._ahead = ReadAhead(self, self.server.ahead_limits)
+        self.server.start_reading_ahead(self._ahead)
+
+    async def read_next(self) -> Request | None:
+        """Reads the next request while others may be in progress.
+
+        :returns: None when no further request is served.
+        """
+        messages = self.reader.messages
+        if messages and messages[0].has_head:
+            return await self._read_request()
+        self.cancel_scope = trio.CancelScope()
+        request = None
+        with self.cancel_scope:
+            try:
+                request = await self._read_request()
+            except TransferError as error:
+                logging.debug("Reading ended: %s", error)
+        self.is_idle = self.is_reading_head = False
+        return None if self.is_last_request else request
+
     async def read_more(self, request: Request) -> None:
         """Reads more of the body of a request.
 
         :raises TransferError: when the caller disconnects.
         :raises TooLargeError: when the body exceeds the limit for clients.
         """
-        data = await receive(self.sock)
-        if not data:
-            self.is_broken = True
+        reader = self.reader
+        data = b"" if reader.unparsed else await receive(self.sock)
+        if not data and not reader.unparsed:
+            self._end_after_answers()
             raise TransferError(
                 "the caller disconnected", may_have_run=True, code="left"
             )
         try:
-            self.reader.feed(data)
+            reader.add_input(data)
         except MalformedRequestError:
-            self.is_broken = True
+            self._end_after_answers()
             raise
+        if request.is_complete:
+            self._note_body_end()
         if request.received_bytes > self.server.limits.body_bytes:
-            self.is_broken = True
+            self._end_after_answers()
             raise TooLargeError("the request body exceeds the limit")
 
+    def _end_after_answers(self) -> None:
+        """Serves no request behind the last one, whose body cannot be read."""
+        if len(self.exchanges) > 1:
+            # The requests before it are answered first. Its body stays incomplete, so
+            # that nothing behind it is read.
+            return
+        self.is_broken = True
+
+    def _note_body_end(self) -> None:
+        if self._ahead is not None:
+            self._ahead.notify()
+        elif self.server.watcher is not None and self.exchanges:
+            self._watch_input()
+
     async def _read_request(self) -> Request | None:
         messages = self.reader.messages
-        self.is_idle, self.is_reading_head = not messages, True
+        self.is_idle, self.is_reading_head = not self.reader.has_input, True
         self.waiting_since = trio.current_time()
         try:
             if self.is_idle:
@@ -302,7 +514,7 @@
                     return None
             if not messages[0].has_head:
                 self.is_idle, self.waiting_since = False, trio.current_time()
-                while not messages[0].has_head:
+                while not messages or not messages[0].has_head:
                     if not await self._read_input():
                         return None
             self.is_idle = self.is_reading_head = False
@@ -313,26 +525,34 @@
         except TooLargeError:
             await self._reject(431)
             return None
-        request = messages.popleft()
+        request = self._last_request = messages.popleft()
         request.arrived_at = trio.current_time()
+        self.is_head_timed_out = False
         return request
 
     async def _read_input(self) -> bool:
-        data = await receive(self.sock)
-        if not data:
+        reader = self.reader
+        if reader.error is not None:
+            raise reader.error
+        data = b"" if reader.unparsed else await receive(self.sock)
+        if not data and not reader.unparsed:
             return False
-        self.reader.feed(data)
-        if self.reader.head_bytes > self.server.limits.header_bytes:
+        reader.add_input(data)
+        is_too_long = reader.head_bytes > self.server.limits.header_bytes
+        if is_too_long and not (reader.messages and reader.messages[0].has_head):
             raise TooLargeError("the request head exceeds the limit")
         return True
 
     async def _reject(self, status: int) -> None:
+        self.is_reading_head = False
+        if self._ahead is not None:
+            await self._ahead.wait_until_answered()
         await send_all(self.sock, encode_response(status, _CLOSE_HEADERS, b""))
         await self._discard_input()
 
     async def _serve_requests(self) -> None:
         """Serves requests until the connection ends or one of them is cancelled."""
-        while not self.is_last_request and not self.is_broken:
+        while self._may_continue():
             request = await self._read_request()
             if request is None:
                 self.is_broken = True
@@ -343,30 +563,85 @@
                 # request.
                 return
 
-    async def _serve(self, request: Request) -> Exchange:
-        exchange = self._exchange = Exchange(request, self)
+    def begin(self, request: Request, cancel_scope: trio.CancelScope) -> Exchange:
+        """Adds a request to those in progress."""
+        exchange = Exchange(request, self, cancel_scope=cancel_scope)
+        if self.exchanges:
+            exchange.turn = trio.Event()
+        self.exchanges.append(exchange)
         self.server.add_exchange(exchange)
+        return exchange
+
+    async def _serve(self, request: Request) -> Exchange:
+        exchange = self._exchange = self.begin(request, self.cancel_scope)
+        watcher = self.server.watcher
+        if watcher is None:
+            await self._handle(exchange)
+        else:
+            if request.is_complete:
+                self._watch_input()
+            await self._handle(exchange)
+            watcher.disarm(self.sock.fileno())
+        await self._finish(exchange)
+        return exchange
+
+    async def _handle(self, exchange: Exchange) -> None:
+        request = exchange.request
         if request.find(b"expect") is not None and not request.is_complete:
+            await exchange.wait_for_turn()
             await send_all(self.sock, b"HTTP/1.1 100 Continue\r\n\r\n")
         await self.server.handler(exchange)
-        await self._finish(exchange)
-        return exchange
+
+    async def serve_ahead(self, exchange: Exchange) -> None:
+        """Serves a request that was read while others were in progress."""
+        try:
+            with exchange.cancel_scope:
+                await self._handle(exchange)
+        except Exception as error:
+            log_failure(error)
+        try:
+            await self._finish_cancelled(exchange)
+        except Exception as error:
+            log_failure(error)
+            self.abort()
 
     async def _finish_cancelled(self, exchange: Exchange) -> None:
         if exchange.needs_late_response:
             await exchange.on_deadline()
+        elif self._ahead is not None:
+            await self._answer_failed(exchange)
         await self._finish(exchange)
 
+    async def _answer_failed(self, exchange: Exchange) -> None:
+        """Responds to a request that failed, for the sake of those behind it."""
+        if not exchange.has_answered and not exchange.has_disconnected:
+            await exchange.answer(502, [], b"")
+
     async def _finish(self, exchange: Exchange) -> None:
+        if exchange.turn is not None and exchange.has_answered:
+            await exchange.deliver()
         self._remove_exchange(exchange)
         request = exchange.request
         if not exchange.has_answered:
             self.is_broken = True
         elif not request.is_complete and not self.is_broken:
             await self._discard_body(request)
+        if self._ahead is not None:
+            self._continue_ahead()
+
+    def _continue_ahead(self) -> None:
+        if self.is_broken:
+            self.abort()
+        elif self.is_idle and not self.exchanges:
+            self.waiting_since = trio.current_time()
+        self._ahead.notify()
 
     def _remove_exchange(self, exchange: Exchange) -> None:
-        self._exchange = None
+        if exchange is self._exchange:
+            self._exchange = None
+        self.exchanges.remove(exchange)
+        if self.exchanges and not self.is_broken:
+            self.exchanges[0].turn.set()
         self.server.exchanges.discard(exchange)
         # It refers to the exchange, which would stay as cyclic garbage.
         exchange.on_deadline = None
@@ -388,8 +663,26 @@
                 request.take_body()
             self.is_broken = not request.is_complete
 
+    async def _discard_requests_behind(self) -> None:
+        """Discards requests behind the last response, which closes the connection.
+
+        Closing a connection with unread data resets it, and the response could be
+        lost.
+        """
+        if self._ahead is not None or self.reader.has_input or peek(self.sock):
+            await self._discard_input()
+
     async def _discard_input(self) -> None:
-        self.sock.shutdown(socket.SHUT_WR)
+        with contextlib.suppress(OSError):
+            self.sock.shutdown(socket.SHUT_WR)
         with trio.move_on_after(_DISCARD_TIMEOUT_SECONDS):
             while await receive(self.sock):
                 await trio.lowlevel.checkpoint()
+
+
+def log_failure(error: Exception) -> None:
+    """Logs why a request or a connection ended without a response."""
+    if isinstance(error, (TransferError, MalformedRequestError, TooLargeError)):
+        logging.debug("Connection ended: %s", error)
+    else:
+        logging.error("Request failed", exc_info=error)
--- a/src/coltsfootspar/relay/forwarding.py
+++ b/src/coltsfootspar/relay/forwarding.py
@@ -176,8 +176,16 @@
             log_decision("no-route", host=host, path=path, version=self._routes.version)
             await exchange.answer(404, [], b"")
             return
+        if exchange.is_behind and not route.is_idempotent:
+            await self._wait_for_turn(exchange)
+            # What is in force may have changed in the meantime.
+            await self.handle(exchange)
+            return
         organisation = None
         call = self._create_call(exchange, route)
+        if exchange.turn is not None and trio.current_time() >= call.deadline:
+            await self._refuse(exchange, "deadline")
+            return
         if not self._ends_in_time(call):
             await self._refuse(exchange, "stopping")
             return
@@ -192,6 +200,14 @@
             return
         await self._forward(exchange, route, outgoing, organisation)
 
+    async def _wait_for_turn(self, exchange: Exchange) -> None:
+        """Delays a request that must not run twice until those before it are answered.
+
+        A caller sends it again if the connection ends before.
+        """
+        exchange.set_deadline(math.inf, lambda: self._refuse(exchange, "stopping"))
+        await exchange.wait_for_turn()
+
     async def _pass_gates(
         self,
         exchange: Exchange,
--- a/src/coltsfootspar/relay/messages.py
+++ b/src/coltsfootspar/relay/messages.py
@@ -46,6 +46,13 @@
 # its content.
 _SHORT_PIECE_BYTES = 1_024
 _JOINED_PIECE_BYTES = 16_384
+# Requests of one connection that are parsed before the first of them is taken; further
+# input stays unparsed. A read may hold thousands of short ones.
+MAX_PARSED_REQUESTS = 16
+# Most input that is parsed at once: many heads fit into the first, and only the part
+# of a chunked body may be followed by more requests.
+_SLICE_BYTES = 2_048
+_CHUNKED_SLICE_BYTES = 16_384
 
 
 @attrs.define(eq=False)
@@ -206,13 +213,73 @@
 
 @attrs.define(eq=False)
 class RequestReader(_MessageReader):
-    """Parses requests."""
+    """Parses requests.
 
+    :param unparsed: input behind the requests that have been parsed.
+    :param error: fault in the input behind the requests that have been parsed.
+    """
+
+    unparsed: bytes | memoryview = b""
+    error: MalformedRequestError | None = None
     _parser: httptools.HttpRequestParser = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         self._parser = httptools.HttpRequestParser(self)
 
+    @property
+    def has_input(self) -> bool:
+        """True when a request, a part of one or a fault has been received."""
+        return bool(self.messages or self.unparsed) or self.error is not None
+
+    def add_input(self, data: bytes) -> None:
+        """Parses input until enough requests wait to be taken, and keeps the rest.
+
+        A fault behind whole requests is kept in :attr:`error`, so that they are
+        served.
+
+        :raises MalformedRequestError: when the request that was taken last is invalid.
+        """
+        if len(data) <= _SLICE_BYTES and not self.unparsed:
+            self._feed_slice(data)
+        else:
+            self.unparsed = bytes(self.unparsed) + data
+            self.parse_rest()
+
+    def parse_rest(self) -> None:
+        """Parses input that was kept; see :meth:`add_input`."""
+        rest = memoryview(self.unparsed)
+        while rest:
+            size = self._choose_slice()
+            self._feed_slice(rest[:size])
+            rest = rest[size:] if self.error is None else b""
+            if len(self.messages) >= MAX_PARSED_REQUESTS:
+                break
+        self.unparsed = rest
+
+    def _choose_slice(self) -> int:
+        current = self._current
+        if current is None or not current.has_head:
+            return _SLICE_BYTES
+        length = current.content_length
+        if length is None:
+            return _CHUNKED_SLICE_BYTES
+        return max(_SLICE_BYTES, length - current.received_bytes)
+
+    def _feed_slice(self, data: bytes | memoryview) -> None:
+        try:
+            self.feed(data)
+        except MalformedRequestError as error:
+            messages = self.messages
+            if messages and messages[-1] is self._current:
+                messages.pop()
+            elif self._current is not None:
+                raise
+            self.error = error
+            return
+        if self._has_progress and self.head_bytes:
+            # The slice also held the end of the message before the head.
+            self.head_bytes = 0
+
     def on_message_begin(self) -> None:
         self._current = Request()
         self.messages.append(self._current)
--- a/src/coltsfootspar/relay/server.py
+++ b/src/coltsfootspar/relay/server.py
@@ -1,18 +1,22 @@
 """HTTP server with one task per connection."""
 
+import contextlib
 import socket
+from collections.abc import Iterator
 
 import attrs
 import trio
 from absl import logging
 
-from coltsfootspar.exceptions import (
-    MalformedRequestError,
-    TooLargeError,
-    TransferError,
+from coltsfootspar.relay.ahead import AheadLimits, ReadAhead
+from coltsfootspar.relay.connections import (
+    Connection,
+    Exchange,
+    Handler,
+    log_failure,
 )
-from coltsfootspar.relay.connections import Connection, Exchange, Handler
-from coltsfootspar.relay.sockets import accept, find_readable, listen
+from coltsfootspar.relay.sockets import accept, find_closed, listen
+from coltsfootspar.relay.watching import InputWatcher, create_input_watcher
 from coltsfootspar.routes import ClientLimits
 from coltsfootspar.timers import compute_next_tick
 from coltsfootspar.wire import Address
@@ -37,12 +41,20 @@
     :param exchanges: requests in progress.
     :param is_draining: true when connections close after the next response; new ones
         are still accepted.
+    :param ahead_limits: bounds on requests that a caller sends before the earlier ones
+        are answered; None serves the requests of a connection one after the other.
+    :param watcher: notices such requests.
+    :param connections_ahead: connections on which a request was sent ahead.
     """
 
     handler: Handler
+    ahead_limits: AheadLimits | None = None
     limits: ClientLimits = attrs.field(factory=ClientLimits)
     exchanges: set[Exchange] = attrs.field(factory=set)
     is_draining: bool = False
+    watcher: InputWatcher | None = None
+    connections_ahead: int = 0
+    _nursery: trio.Nursery | None = None
     _connections: set[Connection] = attrs.field(factory=set)
     _has_work: trio.Event = attrs.field(factory=trio.Event)
 
@@ -57,9 +69,12 @@
         :raises OSError: when the address cannot be bound.
         """
         listener = listen(address)
-        with listener:
+        with listener, self._open_watcher():
             async with trio.open_nursery() as nursery:
+                self._nursery = nursery
                 nursery.start_soon(self._run_checks)
+                if self.watcher is not None:
+                    nursery.start_soon(self.watcher.run)
                 task_status.started()
                 while True:
                     try:
@@ -70,6 +85,19 @@
                         continue
                     nursery.start_soon(self._run_connection, sock, host)
 
+    @contextlib.contextmanager
+    def _open_watcher(self) -> Iterator[None]:
+        if self.ahead_limits is None:
+            yield
+            return
+        with contextlib.closing(create_input_watcher()) as self.watcher:
+            yield
+
+    def start_reading_ahead(self, ahead: ReadAhead) -> None:
+        """Starts the task that reads the further requests of a connection."""
+        self.connections_ahead += 1
+        self._nursery.start_soon(ahead.run)
+
     async def drain(self) -> None:
         """Closes idle connections and waits for the requests in progress.
 
@@ -112,15 +140,17 @@
     async def _run_connection(self, sock: socket.socket, host: str) -> None:
         connection = Connection(self, sock, host)
         self._connections.add(connection)
+        if self.watcher is not None:
+            self.watcher.add(sock.fileno(), connection.notice_input)
         try:
             await connection.run()
-        except (TransferError, MalformedRequestError, TooLargeError) as error:
-            logging.debug("Connection ended: %s", error)
-        except Exception:
+        except Exception as error:
             # A fault in one request must not end the requests of other callers.
-            logging.exception("Request failed")
+            log_failure(error)
         finally:
             self._connections.discard(connection)
+            if self.watcher is not None:
+                self.watcher.remove(sock.fileno())
             sock.close()
 
     def add_exchange(self, exchange: Exchange) -> None:
@@ -157,15 +187,20 @@
 
     def _cancel_disconnected(self) -> None:
         """Cancels the exchanges whose callers have disconnected."""
-        by_descriptor = {exchange.descriptor: exchange for exchange in self.exchanges}
-        for descriptor in find_readable(by_descriptor) if by_descriptor else ():
-            # A readable connection may also hold the next request.
-            by_descriptor[descriptor].cancel_if_disconnected()
+        connections = {
+            exchange.descriptor: exchange.connection for exchange in self.exchanges
+        }
+        for descriptor in find_closed(connections) if connections else ():
+            connections[descriptor].abort()
 
 
-def create_relay_server(handler: Handler) -> RelayServer:
+def create_relay_server(
+    handler: Handler, ahead_limits: AheadLimits | None = None
+) -> RelayServer:
     """Creates a server.
 
     :param handler: sends the response to each request.
+    :param ahead_limits: bounds on requests that a caller sends before the earlier ones
+        are answered; None serves the requests of a connection one after the other.
     """
-    return RelayServer(handler)
+    return RelayServer(handler, ahead_limits)
--- a/src/coltsfootspar/relay/sockets.py
+++ b/src/coltsfootspar/relay/sockets.py
@@ -18,6 +18,7 @@
 __all__ = [
     "accept",
     "connect",
+    "find_closed",
     "find_readable",
     "is_refusing",
     "set_user_timeout",
@@ -196,6 +197,19 @@
     return [descriptor for descriptor, _ in poller.poll(0)]
 
 
+def find_closed(descriptors: Iterable[int]) -> list[int]:
+    """Returns the connections that their peers have closed, in one system call.
+
+    Finds them even if there is unread input.
+
+    :param descriptors: file descriptors of open connections.
+    """
+    poller = select.poll()
+    for descriptor in descriptors:
+        poller.register(descriptor, select.POLLRDHUP)
+    return [descriptor for descriptor, _ in poller.poll(0)]
+
+
 async def is_refusing(address: Address, timeout: float) -> bool:
     """Tells whether a host refuses connections because no process listens there.
 
--- a/src/coltsfootspar/settings/fleet.py
+++ b/src/coltsfootspar/settings/fleet.py
@@ -76,12 +76,18 @@
     :param inbound: where other nodes send calls.
     :param outbound: where callers on the own host send requests.
     :param ready: where the host asks whether the node takes requests.
+    :param requests_ahead: requests of one caller's connection that may be in progress;
+        1 serves them one after the other.
+    :param bytes_ahead: bodies of these requests, and answers that wait for the answers
+        before them, that one connection may hold.
     """
 
     service: str
     inbound: Address
     outbound: Address
     ready: Address
+    requests_ahead: int = attrs.field(default=16, validator=attrs.validators.ge(1))
+    bytes_ahead: int = attrs.field(default=262_144, validator=attrs.validators.ge(1))
 
 
 @attrs.frozen(kw_only=True)
