--- a/src/coltsfootspar/relay/ahead.py
+++ b/src/coltsfootspar/relay/ahead.py
@@ -1,5 +1,6 @@
 """Requests that a caller sends before the earlier ones have been answered."""
 
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 import attrs
@@ -9,7 +10,7 @@
 if TYPE_CHECKING:
     from coltsfootspar.relay.connections import Connection
 
-__all__ = ["AheadLimits", "HeldAnswer", "ReadAhead"]
+__all__ = ["AheadLimits", "HeldAnswer", "ReadAhead", "Turn"]
 
 
 @attrs.frozen
@@ -35,6 +36,20 @@
     reason: bytes
 
 
+@attrs.define(eq=False)
+class Turn:
+    """Turn of a request to be answered, behind those before it on the connection.
+
+    :param has_come: set once the requests before it are answered.
+    :param answer: response that waits for the turn.
+    :param answer_bytes: size of the body of the response, as far as it is held.
+    """
+
+    has_come: trio.Event = attrs.field(factory=trio.Event)
+    answer: HeldAnswer | None = None
+    answer_bytes: int = 0
+
+
 @attrs.define(eq=False)
 class ReadAhead:
     """Reads the further requests of a connection while others are in progress.
@@ -69,6 +84,12 @@
         """Ends the reading and the requests that it has started."""
         self._tasks_scope.cancel()
 
+    async def end(self) -> None:
+        """Cancels all tasks and waits until none uses the socket."""
+        self.cancel()
+        with trio.CancelScope(shield=True):
+            await self.has_ended.wait()
+
     def notify(self) -> None:
         """Tells that a request was answered or that its body has been read."""
         self._progress.set()
@@ -81,35 +102,36 @@
 
     async def _read_requests(self, nursery: trio.Nursery) -> None:
         connection = self._connection
-        while await self._wait_for_room():
+        while await self._wait_until(self._may_read):
             request = await connection.read_next()
-            if request is None:
+            # Answers may have been made while it waited for input.
+            if request is None or not await self._wait_until(self._may_start):
                 return
             exchange = connection.begin(request, trio.CancelScope())
             nursery.start_soon(connection.serve_ahead, exchange)
             if not request.keeps_connection:
                 return
 
-    async def _wait_for_room(self) -> bool:
-        """Waits until the next request may be read.
+    async def _wait_until(self, is_possible: Callable[[], bool]) -> bool:
+        """Waits for a condition that depends on the requests in progress.
 
-        :returns: false when none may be read, since the connection is about to end.
+        :returns: false when no request may be started any more, since the connection
+            is about to end.
         """
         connection = self._connection
         while not connection.is_last_request:
-            # Answers only to the requests that have been read: the last one closes
-            # the connection.
+            # The last of the requests that have started closes the connection.
             if connection.server.is_draining and connection.exchanges:
                 return False
-            if self._has_room():
+            if is_possible():
                 return True
             await self._progress.wait()
         return False
 
-    def _has_room(self) -> bool:
+    def _may_read(self) -> bool:
         connection = self._connection
-        return (
-            connection.has_read_body
-            and len(connection.exchanges) < self._limits.requests
-            and connection.held_bytes < self._limits.held_bytes
-        )
+        has_place = len(connection.exchanges) < self._limits.requests
+        return has_place and connection.has_read_body and not connection.is_full
+
+    def _may_start(self) -> bool:
+        return not self._connection.is_full
--- a/src/coltsfootspar/relay/connections.py
+++ b/src/coltsfootspar/relay/connections.py
@@ -16,7 +16,7 @@
     TooLargeError,
     TransferError,
 )
-from coltsfootspar.relay.ahead import AheadLimits, HeldAnswer, ReadAhead
+from coltsfootspar.relay.ahead import AheadLimits, HeldAnswer, ReadAhead, Turn
 from coltsfootspar.relay.messages import (
     LAST_CHUNK,
     Headers,
@@ -73,8 +73,8 @@
     :param deadline: trio clock, seconds.
     :param on_deadline: sends the response when the deadline ends the handler.
     :param sent_to: ids of the nodes and backend servers that the request was sent to.
-    :param turn: set once the requests before it on the connection are answered; None
-        when there were none.
+    :param turn: its turn to be answered; None when no request was before it on the
+        connection.
     :param cancel_scope: surrounds the handler.
     """
 
@@ -86,14 +86,12 @@
     deadline: float = math.inf
     on_deadline: Callable[[], Awaitable[None]] | None = None
     sent_to: set[str] = attrs.field(factory=set)
-    turn: trio.Event | None = None
+    turn: Turn | None = None
     cancel_scope: trio.CancelScope = attrs.field(
         default=attrs.Factory(
             lambda self: self._connection.cancel_scope, takes_self=True
         )
     )
-    _held_answer: HeldAnswer | None = None
-    _held_answer_bytes: int = 0
 
     @property
     def connection(self) -> "Connection":
@@ -103,12 +101,13 @@
     @property
     def is_behind(self) -> bool:
         """True while an earlier request on the connection is not answered."""
-        return self.turn is not None and not self.turn.is_set()
+        return self.turn is not None and not self.turn.has_come.is_set()
 
     @property
     def held_bytes(self) -> int:
         """Size of the body received and of the answer that waits for its turn."""
-        return self.request.received_bytes + self._held_answer_bytes
+        answer_bytes = self.turn.answer_bytes if self.turn is not None else 0
+        return self.request.received_bytes + answer_bytes
 
     async def wait_for_turn(self) -> None:
         """Waits until the earlier requests on the connection are answered.
@@ -117,7 +116,7 @@
         ended before, its caller would send it again.
         """
         if self.turn is not None:
-            await self.turn.wait()
+            await self.turn.has_come.wait()
 
     @property
     def caller_host(self) -> str:
@@ -165,9 +164,9 @@
         :raises TransferError: when the caller has disconnected.
         """
         self.has_answered = True
-        if self.is_behind:
-            self._held_answer = HeldAnswer(status, headers, body, reason)
-            self._held_answer_bytes = len(body)
+        if self.turn is not None and self.is_behind:
+            self.turn.answer = HeldAnswer(status, headers, body, reason)
+            self.turn.answer_bytes = len(body)
             return
         if not self._keeps_connection():
             headers = headers + _CLOSE_HEADERS
@@ -183,7 +182,7 @@
         :raises TransferError: when the caller has disconnected.
         """
         await self.wait_for_turn()
-        held, self._held_answer = self._held_answer, None
+        held, self.turn.answer = self.turn.answer, None
         if held is not None:
             await self.answer(held.status, held.headers, held.body, held.reason)
 
@@ -221,7 +220,7 @@
         head = encode_response(response.status, headers, None, response.reason)
         await send_all(connection.sock, head)
         while data := start or await read():
-            start, self._held_answer_bytes = b"", 0
+            start = b""
             await send_all(connection.sock, data if length else encode_chunk(data))
         if length is None:
             await send_all(connection.sock, LAST_CHUNK)
@@ -240,7 +239,7 @@
             if not data:
                 return bytes(start), True
             start += data
-            self._held_answer_bytes = len(start)
+            self.turn.answer_bytes = len(start)
         await self.wait_for_turn()
         return bytes(start), False
 
@@ -331,7 +330,7 @@
     async def run(self) -> None:
         """Serves requests until either side closes the connection."""
         try:
-            while self._may_continue():
+            while not self.is_last_request and not self.is_broken:
                 self.cancel_scope = trio.CancelScope()
                 try:
                     with self.cancel_scope:
@@ -343,23 +342,20 @@
                     log_failure(error)
                 if self._exchange is not None:
                     await self._finish_cancelled(self._exchange)
-            if self._ahead is not None:
-                await self._ahead.has_ended.wait()
+                if self._ahead is not None:
+                    await self._ahead.has_ended.wait()
+                    break
         finally:
-            if self._exchange is not None:
-                self._remove_exchange(self._exchange)
             if self._ahead is not None:
-                self._ahead.cancel()
+                await self._ahead.end()
+            for exchange in list(self.exchanges):
+                self._remove_exchange(exchange)
         self.is_idle = self.is_reading_head = False
         if self.is_last_request:
             await self._discard_requests_behind()
         elif self.is_head_timed_out:
             await self._reject(408)
 
-    def _may_continue(self) -> bool:
-        is_ended = self.is_last_request or self.is_broken
-        return not is_ended and self._ahead is None
-
     def enforce_read_timeouts(self, now: float) -> None:
         """Closes a connection that is idle or receives a head for too long.
 
@@ -504,7 +500,8 @@
 
     async def _read_request(self) -> Request | None:
         messages = self.reader.messages
-        self.is_idle, self.is_reading_head = not self.reader.has_input, True
+        self.is_idle = not messages and not self.reader.has_input
+        self.is_reading_head = True
         self.waiting_since = trio.current_time()
         try:
             if self.is_idle:
@@ -552,13 +549,13 @@
 
     async def _serve_requests(self) -> None:
         """Serves requests until the connection ends or one of them is cancelled."""
-        while self._may_continue():
+        while not self.is_last_request and not self.is_broken:
             request = await self._read_request()
             if request is None:
                 self.is_broken = True
                 return
             exchange = await self._serve(request)
-            if exchange.is_cancelled:
+            if exchange.is_cancelled or self._ahead is not None:
                 # The handler ended first. The cancellation must not reach the next
                 # request.
                 return
@@ -567,7 +564,7 @@
         """Adds a request to those in progress."""
         exchange = Exchange(request, self, cancel_scope=cancel_scope)
         if self.exchanges:
-            exchange.turn = trio.Event()
+            exchange.turn = Turn()
         self.exchanges.append(exchange)
         self.server.add_exchange(exchange)
         return exchange
@@ -575,28 +572,30 @@
     async def _serve(self, request: Request) -> Exchange:
         exchange = self._exchange = self.begin(request, self.cancel_scope)
         watcher = self.server.watcher
+        if request.find(b"expect") is not None:
+            await self._invite_body(exchange)
         if watcher is None:
-            await self._handle(exchange)
+            await self.server.handler(exchange)
         else:
             if request.is_complete:
                 self._watch_input()
-            await self._handle(exchange)
+            await self.server.handler(exchange)
             watcher.disarm(self.sock.fileno())
         await self._finish(exchange)
         return exchange
 
-    async def _handle(self, exchange: Exchange) -> None:
-        request = exchange.request
-        if request.find(b"expect") is not None and not request.is_complete:
+    async def _invite_body(self, exchange: Exchange) -> None:
+        if not exchange.request.is_complete:
             await exchange.wait_for_turn()
             await send_all(self.sock, b"HTTP/1.1 100 Continue\r\n\r\n")
-        await self.server.handler(exchange)
 
     async def serve_ahead(self, exchange: Exchange) -> None:
         """Serves a request that was read while others were in progress."""
         try:
             with exchange.cancel_scope:
-                await self._handle(exchange)
+                if exchange.request.find(b"expect") is not None:
+                    await self._invite_body(exchange)
+                await self.server.handler(exchange)
         except Exception as error:
             log_failure(error)
         try:
@@ -641,7 +640,7 @@
             self._exchange = None
         self.exchanges.remove(exchange)
         if self.exchanges and not self.is_broken:
-            self.exchanges[0].turn.set()
+            self.exchanges[0].turn.has_come.set()
         self.server.exchanges.discard(exchange)
         # It refers to the exchange, which would stay as cyclic garbage.
         exchange.on_deadline = None
--- a/src/coltsfootspar/relay/messages.py
+++ b/src/coltsfootspar/relay/messages.py
@@ -203,7 +203,8 @@
                 "protocol upgrades are not supported"
             ) from error
         if self._current is not None and not self._current.has_head:
-            self.head_bytes += len(data)
+            # Data with progress also held the end of the message before the head.
+            self.head_bytes = 0 if self._has_progress else self.head_bytes + len(data)
             return
         self.head_bytes = 0
         self.framing_bytes = 0 if self._has_progress else self.framing_bytes + len(data)
@@ -239,19 +240,26 @@
 
         :raises MalformedRequestError: when the request that was taken last is invalid.
         """
-        if len(data) <= _SLICE_BYTES and not self.unparsed:
-            self._feed_slice(data)
-        else:
+        if self.unparsed or len(data) > _SLICE_BYTES:
             self.unparsed = bytes(self.unparsed) + data
-            self.parse_rest()
+            self._parse_slices()
+            return
+        try:
+            self.feed(data)
+        except MalformedRequestError as error:
+            self._keep_error(error)
 
-    def parse_rest(self) -> None:
-        """Parses input that was kept; see :meth:`add_input`."""
+    def _parse_slices(self) -> None:
         rest = memoryview(self.unparsed)
         while rest:
             size = self._choose_slice()
-            self._feed_slice(rest[:size])
-            rest = rest[size:] if self.error is None else b""
+            try:
+                self.feed(rest[:size])
+            except MalformedRequestError as error:
+                self._keep_error(error)
+                rest = b""
+                break
+            rest = rest[size:]
             if len(self.messages) >= MAX_PARSED_REQUESTS:
                 break
         self.unparsed = rest
@@ -265,20 +273,17 @@
             return _CHUNKED_SLICE_BYTES
         return max(_SLICE_BYTES, length - current.received_bytes)
 
-    def _feed_slice(self, data: bytes | memoryview) -> None:
-        try:
-            self.feed(data)
-        except MalformedRequestError as error:
-            messages = self.messages
-            if messages and messages[-1] is self._current:
-                messages.pop()
-            elif self._current is not None:
-                raise
-            self.error = error
-            return
-        if self._has_progress and self.head_bytes:
-            # The slice also held the end of the message before the head.
-            self.head_bytes = 0
+    def _keep_error(self, error: MalformedRequestError) -> None:
+        """Keeps a fault until the whole requests before it have been taken.
+
+        :raises MalformedRequestError: when the request that was taken last is invalid.
+        """
+        messages = self.messages
+        if messages and messages[-1] is self._current:
+            messages.pop()
+        elif self._current is not None:
+            raise error
+        self.error = error
 
     def on_message_begin(self) -> None:
         self._current = Request()
--- a/src/coltsfootspar/relay/tests/conftest.py
+++ b/src/coltsfootspar/relay/tests/conftest.py
@@ -152,8 +152,11 @@
         self.directory.addresses[name] = address
         return backend
 
-    async def add_entry_node(self, backend=None):
-        """Starts the outbound side of a node, by default without a backend server."""
+    async def add_entry_node(self, backend=None, ahead=None):
+        """Starts the outbound side of a node, by default without a backend server.
+
+        :param ahead: limits on requests that callers send ahead.
+        """
         forwarder = Forwarder(
             "entry",
             self.own_host,
@@ -166,7 +169,7 @@
             backend or create_backend_server(NAMES, lambda: None),
             NAMES,
         )
-        server = create_relay_server(forwarder.handle)
+        server = create_relay_server(forwarder.handle, ahead)
         address = Address(HOST, find_free_port(HOST))
         await self.nursery.start(server.serve, address)
         return forwarder, server, address
