--- a/src/coltsfootspar/fleet/tests/test_stopping.py
+++ b/src/coltsfootspar/fleet/tests/test_stopping.py
@@ -359,3 +359,32 @@
             await stopping.ended.wait()
     assert answers[0].startswith(b"HTTP/1.1 503")
     assert stopping.exit_codes == [0]
+
+
+@pytest.mark.parametrize(("wait", "status"), [(0.1, b"200"), (0.5, b"503")])
+async def test_stop_answers_requests_sent_ahead(stopping, wait, status):
+    """Guards against requests sent ahead that run, and are cut or sent again.
+
+    The one that must not run twice is refused if its turn comes late in the stop.
+    """
+    caller = await stopping.open_caller()
+    answers = []
+
+    async def call(*paths):
+        data = b"".join(encode("GET", path) for path in paths)
+        answers.append(await send_and_read(caller, data))
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(call, "/long/1/held", "/long/2", "/once/3", "/long/4/held")
+        await stopping.wait_reached("/long/1/held")
+        await stopping.wait_reached("/long/4/held")
+        stopping.stop.set()
+        await trio.sleep(wait * GRACE_SECONDS)
+        assert "/once/3" not in stopping.paths
+        stopping.release.set()
+    await stopping.ended.wait()
+    heads = answers[0].split(b"HTTP/1.1 ")[1:]
+    assert [head[:3] for head in heads] == [b"200", b"200", status, b"200"]
+    assert [b"Connection: close" in head for head in heads] == [False] * 3 + [True]
+    assert ("/once/3" in stopping.paths) is (status == b"200")
+    assert stopping.exit_codes == [0]
--- a/src/coltsfootspar/relay/connections.py
+++ b/src/coltsfootspar/relay/connections.py
@@ -291,7 +291,8 @@
     def needs_late_response(self) -> bool:
         """True when a deadline ended the handler before it sent a response."""
         is_caller_waiting = not self.has_disconnected and not self.has_answered
-        return is_caller_waiting and self.on_deadline is not None
+        has_response = self.is_cancelled and self.on_deadline is not None
+        return is_caller_waiting and has_response
 
 
 Handler = Callable[[Exchange], Awaitable[None]]
@@ -340,6 +341,8 @@
                         raise
                     # The requests behind this one are still to be answered.
                     log_failure(error)
+                    if self._exchange is None:
+                        self.abort()
                 if self._exchange is not None:
                     await self._finish_cancelled(self._exchange)
                 if self._ahead is not None:
--- a/src/coltsfootspar/relay/messages.py
+++ b/src/coltsfootspar/relay/messages.py
@@ -240,8 +240,9 @@
 
         :raises MalformedRequestError: when the request that was taken last is invalid.
         """
-        if self.unparsed or len(data) > _SLICE_BYTES:
-            self.unparsed = bytes(self.unparsed) + data
+        size = len(data)
+        if self.unparsed or (size > _SLICE_BYTES and size > self._choose_slice()):
+            self.unparsed = bytes(self.unparsed) + data if self.unparsed else data
             self._parse_slices()
             return
         try:
