--- a/src/coltsfootspar/fleet/node.py
+++ b/src/coltsfootspar/fleet/node.py
@@ -371,7 +371,7 @@
         forwarder=forwarder,
         outbound=create_relay_server(
             forwarder.handle,
-            AheadLimits(settings.requests_ahead, settings.bytes_ahead),
+            _create_ahead_limits(settings),
         ),
         inbound=create_relay_server(create_peer_handler(receiver.handle, notifier)),
         receiver=receiver,
@@ -386,6 +386,12 @@
     return node
 
 
+def _create_ahead_limits(settings: FleetNodeSettings) -> AheadLimits | None:
+    if settings.requests_ahead == 1:
+        return None
+    return AheadLimits(settings.requests_ahead, settings.bytes_ahead)
+
+
 def _add_metrics(fleet_metrics: FleetMetrics, node: FleetNode) -> None:
     counters, limiter = node.forwarder.counters, node.backend.limiter
     fleet_metrics.add_counters(
--- a/src/coltsfootspar/relay/tests/test_requests_ahead.py
+++ b/src/coltsfootspar/relay/tests/test_requests_ahead.py
@@ -10,7 +10,7 @@
 from coltsfootspar.exceptions import TransferError
 from coltsfootspar.relay import AheadLimits, create_relay_server
 from coltsfootspar.relay.messages import MAX_PARSED_REQUESTS, RequestReader, Response
-from coltsfootspar.routes import Repetition, RouteTable, Service
+from coltsfootspar.routes import ClientLimits, Repetition, RouteTable, Service
 from coltsfootspar.wire import Address
 
 from .conftest import HOST, NAMES, OK, create_route, find_free_port
@@ -160,6 +160,30 @@
     assert await ahead.read_all() == [(200, b"/1"), (200, b"/2"), (400, b"")]
 
 
+async def test_slow_head_is_refused_behind_the_other_answers(harness, ahead):
+    """Guards against a refusal that overtakes answers, or closes before them."""
+    await ahead.start(harness.nursery, ahead.hold_first)
+    ahead.server.limits = ClientLimits(header_seconds=0.1)
+    await ahead.stream.send_all(encode("/1") + encode("/2") + b"GET / HTTP/1.1\r\n")
+    await ahead.wait_started(2)
+    connection = next(iter(ahead.server.exchanges)).connection
+    with trio.fail_after(20):
+        while not connection.is_head_timed_out:  # noqa: ASYNC110
+            await trio.sleep(0.01)
+    ahead.release.set()
+    assert await ahead.read_all() == [(200, b"/1"), (200, b"/2"), (408, b"")]
+
+
+async def test_connection_that_was_read_ahead_is_closed_when_idle(harness, ahead):
+    """Guards against connections that stay for good, or end while a request runs."""
+    await ahead.start(harness.nursery, ahead.hold_first)
+    ahead.server.limits = ClientLimits(idle_seconds=0.2)
+    await ahead.stream.send_all(encode("/1") + encode("/2"))
+    await trio.sleep(0.7)
+    ahead.release.set()
+    assert await ahead.read_all() == [(200, b"/1"), (200, b"/2")]
+
+
 async def test_draining_server_answers_what_it_has_read(harness, ahead):
     """Guards against a stop that closes a connection before the last answer."""
     await ahead.start(harness.nursery, ahead.hold_first)
