--- a/src/coltsfootspar/fleet/node.py
+++ b/src/coltsfootspar/fleet/node.py
@@ -36,6 +36,7 @@
 from coltsfootspar.logs import log_decision
 from coltsfootspar.membership import Membership, open_udp_port
 from coltsfootspar.relay import (
+    AheadLimits,
     BackendServer,
     CallReceiver,
     CrashNotifier,
@@ -371,7 +372,10 @@
         routes=routes,
         backend=backend,
         forwarder=forwarder,
-        outbound=create_relay_server(forwarder.handle),
+        outbound=create_relay_server(
+            forwarder.handle,
+            _create_ahead_limits(settings),
+        ),
         inbound=create_relay_server(create_peer_handler(receiver.handle, notifier)),
         receiver=receiver,
         notifier=notifier,
@@ -389,6 +393,12 @@
     return RevocationPolicy(bounds.revocation_seconds, bounds.stops_when_cut_off)
 
 
+def _create_ahead_limits(settings: FleetNodeSettings) -> AheadLimits | None:
+    if settings.requests_ahead == 1:
+        return None
+    return AheadLimits(settings.requests_ahead, settings.bytes_ahead)
+
+
 def _add_metrics(fleet_metrics: FleetMetrics, node: FleetNode) -> None:
     counters, limiter = node.forwarder.counters, node.backend.limiter
     identifier = node.forwarder.identifier
@@ -413,6 +423,11 @@
             "Requests refused since the node may have missed a change of the keys.",
             lambda: identifier.outdated,
         ),
+        (
+            "connections_ahead",
+            "Connections of callers on which a request was sent ahead.",
+            lambda: node.outbound.connections_ahead,
+        ),
         (
             "connections_opened",
             "Connections opened to the backend server.",
