--- a/src/coltsfootspar/wire/frames.py
+++ b/src/coltsfootspar/wire/frames.py
@@ -81,6 +81,11 @@
     NOTE_DEPARTURES = 79
     DEPARTURES = 80
 
+    REQUEST_TOKENS = 96
+    TOKENS = 97
+    REFILL_TOKENS = 98
+    REFILL = 99
+
 
 class FrameFlag(enum.IntFlag):
     """Flags of a frame."""
