Keep organisations within their rates on the users' platform

The replica that holds a seat lends tokens to the nodes, the leader keeps the ledger; nodes get a token for each request of an organisation with a limit. The modules are loaded with the first routes that hold a limit.

--- a/src/coltsfootspar/fleet/node.py
+++ b/src/coltsfootspar/fleet/node.py
@@ -4,11 +4,13 @@
 import math
 import random
 from collections.abc import Awaitable, Callable
+from typing import TYPE_CHECKING
 
 import attrs
 import trio
 from absl import logging
 
+from coltsfootspar import fleet
 from coltsfootspar.fleet.common import (
     HANDLED_SIGNALS,
     create_fleet_identity,
@@ -28,10 +30,9 @@
 from coltsfootspar.fleet.reloading import SettingsFile
 from coltsfootspar.fleet.routecopy import RouteCopy, create_route_copy
 from coltsfootspar.fleet.seats import (
-    count_seats,
     create_seat_map,
     find_seat_holder,
-    name_seats,
+    list_seats,
 )
 from coltsfootspar.logs import log_decision
 from coltsfootspar.membership import Membership, open_udp_port
@@ -52,11 +53,15 @@
     create_retry_budget,
 )
 from coltsfootspar.replication import ReplicationClient, create_replication_client
+from coltsfootspar.routes import RouteTable
 from coltsfootspar.routing import Candidate, PeerLinks, create_peer_links
 from coltsfootspar.settings.fleet import FleetNodeSettings
 from coltsfootspar.timers import TimerService, create_timer_service
 from coltsfootspar.wire import Address
 
+if TYPE_CHECKING:
+    from coltsfootspar.fleet.allowances import AllowanceService
+
 __all__ = ["run_fleet_node"]
 
 _MAINTENANCE_PERIOD_SECONDS = 1.0
@@ -135,6 +140,8 @@
     ready: RelayServer
     metrics: RelayServer
     is_stopping: bool = False
+    allowances: "AllowanceService | None" = None
+    _nursery: trio.Nursery | None = None
 
     @property
     def settings(self) -> FleetNodeSettings:
@@ -148,6 +155,16 @@
         self.forwarder.set_retry_limits(bounds.repeat_ratio, bounds.repeat_extra)
         self.backend.set_retry_ratio(bounds.repeat_ratio)
 
+    def apply_routes(self, table: RouteTable) -> None:
+        """Begins to keep organisations within their rates once any has a limit."""
+        if self.allowances is not None or not table.has_limits:
+            return
+        self.allowances = fleet.create_seat_allowance_service(
+            self.settings, self.membership, self.links
+        )
+        self.forwarder.quota_gate = self.allowances
+        self._nursery.start_soon(self.allowances.run)
+
     async def run(self, wait_for_stop: Callable[[], Awaitable[None]]) -> int:
         """Runs the node until it is told to stop.
 
@@ -156,6 +173,7 @@
         """
         settings = self.settings
         async with trio.open_nursery() as nursery:
+            self._nursery = nursery
             nursery.start_soon(self.timers.run)
             nursery.start_soon(self.links.run)
             nursery.start_soon(self.membership.run)
@@ -320,7 +338,7 @@
     links = create_peer_links(
         create_fleet_identity(settings, settings.id, "node"), directory.find_replica
     )
-    seats = list(name_seats(count_seats(len(settings.seeds), settings.host_losses)))
+    seats = list_seats(settings)
     source.shuffle(seats)
     client = create_replication_client(seats, links, source)
     routes = create_route_copy()
@@ -379,10 +397,14 @@
     )
     _add_metrics(fleet_metrics, node)
     settings_file.on_change = node.apply_settings
+    routes.on_change = node.apply_routes
     return node
 
 
 def _add_metrics(fleet_metrics: FleetMetrics, node: FleetNode) -> None:
+    def read_allowances(name: str) -> int:
+        return getattr(node.allowances.counters, name) if node.allowances else 0
+
     counters, limiter = node.forwarder.counters, node.backend.limiter
     fleet_metrics.add_counters(
         ("served", "Requests served.", lambda: counters.served),
@@ -400,6 +422,21 @@
             "Crashes of the backend server.",
             lambda: node.backend.guard.detector.crashes,
         ),
+        (
+            "quota_granted",
+            "Requests within the limit of their organisation.",
+            lambda: read_allowances("granted"),
+        ),
+        (
+            "quota_refused",
+            "Requests above the limit of their organisation.",
+            lambda: read_allowances("refused"),
+        ),
+        (
+            "quota_unavailable",
+            "Requests refused since no lender granted tokens.",
+            lambda: read_allowances("unavailable"),
+        ),
     )
     fleet_metrics.add_gauges(
         ("slots_in_use", "Slots in use.", lambda: limiter.in_use),
--- a/src/coltsfootspar/fleet/replica.py
+++ b/src/coltsfootspar/fleet/replica.py
@@ -4,11 +4,13 @@
 import functools
 import random
 from collections.abc import Awaitable, Callable
+from typing import TYPE_CHECKING
 
 import attrs
 import trio
 from absl import logging
 
+from coltsfootspar import fleet
 from coltsfootspar.exceptions import ColtsfootsparError, FrameError
 from coltsfootspar.fleet.common import (
     DEPLOYMENT,
@@ -37,6 +39,7 @@
 from coltsfootspar.replication import (
     Disk,
     Replica,
+    ReplicaLink,
     ReplicaOptions,
     create_local_link,
     create_replica,
@@ -44,6 +47,7 @@
     format_replica,
     open_disk,
 )
+from coltsfootspar.replication.core import ReplicaCore
 from coltsfootspar.replication.identity import load_identity
 from coltsfootspar.replication.messages import JoinReply, JoinRequest
 from coltsfootspar.routing import create_peer_links, serve_peers
@@ -58,6 +62,9 @@
     replication as codec,
 )
 
+if TYPE_CHECKING:
+    from coltsfootspar.fleet.lenders import LenderService
+
 __all__ = ["run_fleet_replica"]
 
 _JOIN_RETRY_SECONDS = 0.5
@@ -92,6 +99,7 @@
     Without a seat it asks for one and serves operators as a client of the cluster.
 
     :param seats: last known holders of the seats.
+    :param _has_former_holder: true when the seat was held by another host before.
     """
 
     settings: FleetReplicaSettings
@@ -104,6 +112,8 @@
     _is_stopping: bool = False
     _control: RelayServer | None = None
     _replica: Replica | None = None
+    _lenders: "LenderService | None" = None
+    _has_former_holder: bool = False
 
     def __attrs_post_init__(self) -> None:
         self._may_bootstrap = self.settings.is_first_start
@@ -134,6 +144,20 @@
                 "Committed entry.",
                 lambda: self._read_core("commit_index"),
             ),
+            (
+                "quota_fallback",
+                "1 while tokens come from the fallback share.",
+                lambda: self._read_lender("is_cut_off"),
+            ),
+        )
+        fleet_metrics.add_counters(
+            ("quota_lent", "Tokens lent.", lambda: self._read_lender("lent")),
+            (
+                "quota_refused",
+                "Requests that got no token.",
+                lambda: self._read_lender("refused"),
+            ),
+            ("quota_lapsed", "Tokens lapsed.", lambda: self._read_lender("lapsed")),
         )
         metrics = create_relay_server(create_metrics_handler(fleet_metrics.render))
         async with trio.open_nursery() as nursery:
@@ -206,6 +230,9 @@
     def _read_core(self, name: str) -> float:
         return getattr(self._replica.core, name) if self._replica else 0
 
+    def _read_lender(self, name: str) -> float:
+        return int(getattr(self._lenders.lender, name)) if self._lenders else 0
+
     async def _reject_control(self, exchange) -> None:
         await exchange.answer(503, [(b"Retry-After", b"1")], b"")
 
@@ -222,7 +249,7 @@
                 for error in group.exceptions:
                     logging.error("The replica has failed: %s", error)
             self._control.handler = self._reject_control
-            self._replica = None
+            self._replica = self._lenders = None
             self.membership.withdraw()
             if self._is_stopping:
                 return
@@ -234,6 +261,7 @@
         The seat is the one in the data folder, else that of the own address at the
         first start of the deployment, else one obtained by joining.
         """
+        self._has_former_holder = False
         async with self._open_disk() as disk:
             file_names = await disk.list_files()
             own_seat = self.seats.find_seat(str(self.address))
@@ -277,6 +305,8 @@
             while True:
                 reply = None if self._is_stopping else await self._request_seat()
                 if reply is not None and reply.replica_id:
+                    holder = self.seats.find_address(reply.replica_id)
+                    self._has_former_holder = holder not in (None, self.address)
                     nursery.cancel_scope.cancel()
                     break
                 await trio.sleep(_JOIN_RETRY_SECONDS)
@@ -396,6 +426,8 @@
             offers.append(SeatOffers(self.seats, replica, links.reconnect))
 
             async def handle_message(message: Message, peer: Peer) -> Message:
+                if self._lenders is not None and self._lenders.handles(message):
+                    return await self._lenders.handle(peer.process_id, message)
                 if message.kind is FrameKind.JOIN:
                     request = codec.decode_join(message)
                     return codec.encode_join_reply(offers[0].handle_join(request))
@@ -406,6 +438,7 @@
                 await nursery.start(self._serve_peers, identity, handle_message)
                 nursery.start_soon(replica.run)
                 nursery.start_soon(self._watch_seat, replica, disk, seat)
+                nursery.start_soon(self._run_lenders, replica.core, links)
                 self._replica = replica
                 seat_names = sorted(self.seats.names, key=lambda name: name != seat)
                 client = create_replication_client(
@@ -414,6 +447,19 @@
                 self._serve_operators(client)
                 logging.info("Holding %s", seat)
 
+    async def _run_lenders(self, core: ReplicaCore, link: ReplicaLink) -> None:
+        """Lends tokens to nodes from the time when any organisation has a limit."""
+        while not core.state.routes.table.has_limits:
+            await core.table_changed.wait()
+        self._lenders = fleet.create_seat_lender_service(
+            core,
+            link,
+            self.settings.bounds,
+            self.seats,
+            has_former_holder=self._has_former_holder,
+        )
+        await self._lenders.run()
+
     async def _serve_peers(self, identity, handle_message, *, task_status) -> None:
         await serve_peers(
             self.address,
--- a/src/coltsfootspar/fleet/routecopy.py
+++ b/src/coltsfootspar/fleet/routecopy.py
@@ -1,5 +1,7 @@
 """Local copy of the route table on a node."""
 
+from collections.abc import Callable
+
 import attrs
 
 from coltsfootspar.logs import log_decision
@@ -11,13 +13,18 @@
 
 @attrs.define(eq=False)
 class RouteCopy:
-    """Newest route table that the node has received, and its matcher."""
+    """Newest route table that the node has received, and its matcher.
+
+    :param on_change: called with each new table.
+    """
 
     table: RouteTable = attrs.field(factory=RouteTable)
     matcher: RouteMatcher = attrs.field(
         factory=lambda: create_route_matcher(RouteTable())
     )
 
+    on_change: Callable[[RouteTable], None] = lambda table: None
+
     @property
     def version(self) -> int:
         """Version of the table, 0 before the first one."""
@@ -29,6 +36,7 @@
             return
         previous = self.version
         self.table, self.matcher = table, create_route_matcher(table)
+        self.on_change(table)
         log_decision("routes-applied", version=table.version, previous=previous)
 
     async def follow(self, client: ReplicationClient) -> None:
--- a/src/coltsfootspar/fleet/seats.py
+++ b/src/coltsfootspar/fleet/seats.py
@@ -20,6 +20,7 @@
 import attrs
 
 from coltsfootspar.membership import Membership
+from coltsfootspar.settings.fleet import FleetSettings
 from coltsfootspar.wire import Address, parse_address
 
 __all__ = [
@@ -28,6 +29,7 @@
     "count_seats",
     "create_seat_map",
     "find_seat_holder",
+    "list_seats",
     "name_seats",
 ]
 
@@ -60,6 +62,11 @@
     return tuple(f"seat-{number}" for number in range(1, count + 1))
 
 
+def list_seats(settings: FleetSettings) -> list[str]:
+    """Lists the names of the seats of a deployment."""
+    return list(name_seats(count_seats(len(settings.seeds), settings.host_losses)))
+
+
 def find_seat_holder(seat: str, membership: Membership) -> Address | None:
     """Returns the peer address of the member that announces a seat.
 
@@ -108,6 +115,10 @@
         """Returns the addresses of the known holders."""
         return [parse_address(text) for text in self.addresses.values() if text]
 
+    def list_held(self) -> list[str]:
+        """Returns the names of the seats that have a known holder."""
+        return [seat for seat, address in self.addresses.items() if address]
+
     def update(self, addresses: dict[str, str]) -> bool:
         """Replaces addresses by newer ones.
 
--- a/src/coltsfootspar/quotas/buckets.py
+++ b/src/coltsfootspar/quotas/buckets.py
@@ -32,7 +32,8 @@
         """Adds the tokens of the time that has passed."""
         elapsed = max(0.0, now - self.refilled_at)
         level = self.level + elapsed * self.limit.rate * self.share
-        self.level = min(level, self._capacity)
+        # First tokens may be more than a small share holds.
+        self.level = max(self.level, min(level, self._capacity))
         self.refilled_at = max(now, self.refilled_at)
 
     def set_limit(self, limit: Limit, share: float, now: float) -> None:
--- a/src/coltsfootspar/quotas/spending.py
+++ b/src/coltsfootspar/quotas/spending.py
@@ -71,8 +71,11 @@
 
     def give_back(self, organisation: int, expires_at: float) -> None:
         """Keeps a token that was not spent, until it lapses."""
-        if self.clock.read() < expires_at:
-            self._spare.setdefault(organisation, []).append(expires_at)
+        now = self.clock.read()
+        spare = [*self._spare.pop(organisation, []), expires_at]
+        valid = [lapses_at for lapses_at in spare if lapses_at > now]
+        if valid:
+            self._spare[organisation] = valid
 
     def create_request(self) -> TokenRequest:
         """Creates the request for the tokens that requests wait for."""
@@ -131,7 +134,7 @@
         """
         spare = self._spare.pop(organisation, [])
         now = self.clock.read()
-        valid = sorted(expires_at for expires_at in spare if expires_at > now)
+        valid = sorted(lapses_at for lapses_at in spare if lapses_at > now)
         if not valid:
             return None
         if valid[1:]:
--- a/src/coltsfootspar/routes/model.py
+++ b/src/coltsfootspar/routes/model.py
@@ -123,3 +123,8 @@
     limits: ClientLimits = attrs.field(factory=ClientLimits)
     source: str = ""
     organisations: tuple[Organisation, ...] = ()
+
+    @property
+    def has_limits(self) -> bool:
+        """True when an organisation may only send at some rate."""
+        return any(organisation.rate > 0 for organisation in self.organisations)
--- a/src/coltsfootspar/settings/fleet.py
+++ b/src/coltsfootspar/settings/fleet.py
@@ -31,12 +31,18 @@
     :param repeat_ratio: repeats for each request of a service, over all nodes.
     :param repeat_extra: repeats allowed besides in each window, over all nodes.
     :param repeat_window_seconds: length of the window of both.
+    :param quota_window_seconds: length of the window for rates of organisations.
+    :param quota_overage: share of the limit of a window that may be exceeded.
+    :param quota_slack: requests in a window that may be exceeded besides.
     """
 
     grace_seconds: float = attrs.field(default=6.0, validator=_check_positive)
     repeat_ratio: float = 0.2
     repeat_extra: float = 40.0
     repeat_window_seconds: float = attrs.field(default=10.0, validator=_check_positive)
+    quota_window_seconds: float = attrs.field(default=5.0, validator=_check_positive)
+    quota_overage: float = attrs.field(default=0.1, validator=attrs.validators.ge(0))
+    quota_slack: float = attrs.field(default=20.0, validator=attrs.validators.ge(0))
 
 
 @attrs.frozen(kw_only=True)
