--- a/src/coltsfootspar/wire/quotas.py
+++ b/src/coltsfootspar/wire/quotas.py
@@ -1,5 +1,6 @@
 """Encoding of the messages that pass tokens of organisations."""
 
+import math
 from typing import Any
 
 import capnp
@@ -136,7 +137,7 @@
     builder.organisation = grant.organisation
     builder.count = grant.count
     builder.refused = grant.refused
-    builder.retryMilliseconds = int(grant.retry_after * _MS_PER_SECOND)
+    builder.retryMilliseconds = math.ceil(grant.retry_after * _MS_PER_SECOND)
 
 
 def _read_grants(struct: Any) -> tuple[Grant, ...]:
