--- a/src/coltsfootspar/quotas/lending.py
+++ b/src/coltsfootspar/quotas/lending.py
@@ -209,7 +209,10 @@
         echo = self._stamp if term == self._term else 0.0
         self._drop_lapsed(now)
         asks = []
-        for organisation in sorted(set(self._queues) | set(self._demand)):
+        organisations = set(self._queues)
+        if not is_local:
+            organisations.update(self._demand)
+        for organisation in sorted(organisations):
             ask = self._create_ask(organisation, now, is_local)
             if ask.count or ask.spare:
                 asks.append(ask)
