--- a/src/coltsfootspar/fleet/routecopy.py
+++ b/src/coltsfootspar/fleet/routecopy.py
@@ -1,6 +1,7 @@
 """Local copy of the route table on a node."""
 
 import math
+from collections.abc import Callable
 
 import attrs
 import trio
@@ -24,6 +25,7 @@
 
     :param confirmed_at: latest time at which a replica that then had no newer table was
         asked for one, trio clock, seconds.
+    :param on_change: called with each new table.
     """
 
     table: RouteTable = attrs.field(factory=RouteTable)
@@ -33,6 +35,8 @@
     keys: KeyIndex = attrs.field(factory=lambda: create_key_index(RouteTable()))
     confirmed_at: float = -math.inf
 
+    on_change: Callable[[RouteTable], None] = lambda table: None
+
     @property
     def version(self) -> int:
         """Version of the table, 0 before the first one."""
@@ -56,6 +60,7 @@
             previous=previous,
             organisations=len(table.organisations),
         )
+        self.on_change(table)
 
     def confirm(self, asked_at: float) -> None:
         """Notes that a replica had no newer table.
--- a/src/coltsfootspar/settings/fleet.py
+++ b/src/coltsfootspar/settings/fleet.py
@@ -34,6 +34,9 @@
     :param revocation_seconds: time for which a node that is cut off from the replicas
         may go on to take keys, if it stops at all.
     :param stops_when_cut_off: true when it refuses requests with keys after that.
+    :param quota_window_seconds: length of the window for rates of organisations.
+    :param quota_overage: share of the limit of a window that may be exceeded.
+    :param quota_slack: requests in a window that may be exceeded besides.
     """
 
     grace_seconds: float = attrs.field(default=6.0, validator=_check_positive)
@@ -42,6 +45,9 @@
     repeat_window_seconds: float = attrs.field(default=10.0, validator=_check_positive)
     revocation_seconds: float = attrs.field(default=5.0, validator=_check_positive)
     stops_when_cut_off: bool = False
+    quota_window_seconds: float = attrs.field(default=5.0, validator=_check_positive)
+    quota_overage: float = attrs.field(default=0.1, validator=attrs.validators.ge(0))
+    quota_slack: float = attrs.field(default=20.0, validator=attrs.validators.ge(0))
 
 
 @attrs.frozen(kw_only=True)
@@ -56,6 +62,8 @@
     :param shared_key: secret of the deployment, hexadecimal digits.
     :param peer_port: TCP port of the internal protocol, equal on all hosts.
     :param gossip_port: UDP port of the membership, equal on all hosts.
+    :param quota_port: UDP port for the rates of organisations, equal on all hosts; used
+        when any organisation has a limit.
     """
 
     id: str
@@ -68,6 +76,7 @@
     peer_port: int
     gossip_port: int
     metrics_port: int
+    quota_port: int = 7636
     host_losses: int = attrs.field(default=1, validator=attrs.validators.ge(0))
     log_level: str = attrs.field(default="info", validator=require_choice(*LOG_LEVELS))
     bounds: FleetBounds = attrs.field(factory=FleetBounds)
