--- a/src/coltsfootspar/fleet/tests/test_reloading.py
+++ b/src/coltsfootspar/fleet/tests/test_reloading.py
@@ -96,3 +96,14 @@
         await trio.sleep(2 * CHECK_PERIOD_SECONDS)
         assert file.settings.seeds == (Address("127.0.0.3", 8306),)
         nursery.cancel_scope.cancel()
+
+
+def test_bounds_of_cut_off_nodes_are_read_and_optional(write):
+    """Guards against settings of earlier deployments that a new version refuses."""
+    bounds = load_fleet_replica_settings(write()).bounds
+    assert (bounds.revocation_seconds, bounds.stops_when_cut_off) == (5.0, False)
+    content = {"revocation_seconds": 7, "stops_when_cut_off": True}
+    bounds = load_fleet_replica_settings(write(bounds=content)).bounds
+    assert (bounds.revocation_seconds, bounds.stops_when_cut_off) == (7.0, True)
+    with pytest.raises(SettingsError):
+        load_fleet_replica_settings(write(bounds={"revocation_seconds": 0}))
--- a/src/coltsfootspar/relay/calls.py
+++ b/src/coltsfootspar/relay/calls.py
@@ -370,7 +370,7 @@
 
 @functools.lru_cache(_MAX_CACHED_NAMES)
 def _encode_name(name: str) -> bytes:
-    """Encodes a name that may hold the separator of the call header."""
+    """Encodes a name that operators chose; it may hold the separator of the header."""
     return urllib.parse.quote(name).encode()
 
 
--- a/src/coltsfootspar/relay/identification.py
+++ b/src/coltsfootspar/relay/identification.py
@@ -31,8 +31,8 @@
     UNKNOWN_KEY_ERROR: UNAUTHORIZED,
     WITHDRAWN_KEY_ERROR: UNAUTHORIZED,
 }
-# A node in touch with the replicas confirms its routes at least this often. Beyond it,
-# a key that the node does not know may have been added meanwhile.
+# Twice the time in which a node in touch with the replicas has its routes confirmed. An
+# unknown key may have been added after that.
 OUTDATED_SECONDS = 4.0
 
 
@@ -60,7 +60,7 @@
     stops_when_cut_off: bool = False
 
 
-@attrs.frozen
+@attrs.frozen(eq=False)
 class Identity:
     """Organisation whose key a request carries.
 
@@ -89,7 +89,8 @@
     :param unknown_keys: requests refused for an unknown key, or without a key.
     :param withdrawn_keys: requests refused since their key was withdrawn after they
         had arrived.
-    :param outdated: requests refused since the routes or the keys may be outdated.
+    :param outdated: requests refused since keys may have been added or withdrawn that
+        the node has not heard of.
     """
 
     _view: KeyView
--- a/src/coltsfootspar/replication/commands.py
+++ b/src/coltsfootspar/replication/commands.py
@@ -123,13 +123,13 @@
     :param version: version of the new table, chosen by the operator.
     :param base_version: version that must be active for the change to apply.
     :param digest: hash of the operator's document, the same on every resend.
-    :param data: the encoded table.
+    :param data: the encoded table; it holds keys of organisations.
     """
 
     version: int
     base_version: int
     digest: bytes
-    data: bytes
+    data: bytes = attrs.field(repr=False)
 
 
 @attrs.frozen
--- a/src/coltsfootspar/replication/messages.py
+++ b/src/coltsfootspar/replication/messages.py
@@ -155,7 +155,7 @@
 
     version: int
     is_current: bool
-    table_data: bytes = b""
+    table_data: bytes = attrs.field(default=b"", repr=False)
 
 
 @attrs.frozen
--- a/src/coltsfootspar/replication/routestate.py
+++ b/src/coltsfootspar/replication/routestate.py
@@ -23,7 +23,7 @@
     """
 
     table: RouteTable = attrs.field(factory=RouteTable)
-    data: bytes = attrs.field(factory=lambda: encode_routes(RouteTable()))
+    data: bytes = attrs.field(factory=lambda: encode_routes(RouteTable()), repr=False)
     accepted: dict[int, bytes] = attrs.field(factory=dict)
 
     def copy(self) -> "RouteState":
