--- a/src/coltsfootspar/relay/connections.py
+++ b/src/coltsfootspar/relay/connections.py
@@ -503,8 +503,7 @@
 
     async def _read_request(self) -> Request | None:
         messages = self.reader.messages
-        self.is_idle = not messages and not self.reader.has_input
-        self.is_reading_head = True
+        self.is_idle, self.is_reading_head = not self.reader.has_input, True
         self.waiting_since = trio.current_time()
         try:
             if self.is_idle:
--- a/src/coltsfootspar/relay/messages.py
+++ b/src/coltsfootspar/relay/messages.py
@@ -378,7 +378,8 @@
 
 
 def _encode(start: bytes, headers: Headers, body: bytes | None) -> bytes:
-    lines = [start, *(b"%s: %s" % header for header in headers)]
+    lines = [start]
+    lines += [b"%s: %s" % header for header in headers]
     if body is not None:
         lines.append(b"Content-Length: %d" % len(body))
     return b"\r\n".join(lines) + b"\r\n\r\n" + (body or b"")
--- a/src/coltsfootspar/relay/sockets.py
+++ b/src/coltsfootspar/relay/sockets.py
@@ -160,14 +160,18 @@
 
     :raises TransferError: when the connection was reset or timed out.
     """
-    rest = memoryview(data)
+    rest = data
     while rest:
         try:
-            rest = rest[sock.send(rest) :]
+            sent = sock.send(rest)
         except BlockingIOError:
             await trio.lowlevel.wait_writable(sock)
+            continue
         except OSError as error:
             raise TransferError(str(error), may_have_run=True, code="reset") from error
+        if sent == len(rest):
+            return
+        rest = memoryview(rest)[sent:]
 
 
 def peek(sock: socket.socket) -> bytes | None:
