Drop replies to earlier requests of a lender

A replica that becomes leader while its last request is in progress would have counted the lifetime of the tokens in that reply from a later request. Tests of this, of a former leader without echoes, and of late replies.

--- a/src/coltsfootspar/quotas/lending.py
+++ b/src/coltsfootspar/quotas/lending.py
@@ -140,6 +140,7 @@
     _term: int = 0
     _stamp: float = 0.0
     _sent_at: float = 0.0
+    _request: RefillRequest | None = None
 
     @property
     def is_cut_off(self) -> bool:
@@ -216,13 +217,17 @@
             ask = self._create_ask(organisation, now, is_local)
             if ask.count or ask.spare:
                 asks.append(ask)
-        return RefillRequest(term, echo, now >= self.share_from, tuple(asks))
+        self._request = RefillRequest(term, echo, now >= self.share_from, tuple(asks))
+        return self._request
 
     def apply_refill(self, request: RefillRequest, reply: RefillReply) -> None:
         """Passes the tokens in a reply on to the requests that wait.
 
-        Their lifetime counts from the sending of the request.
+        Their lifetime counts from the sending of the request. Replies to earlier
+        requests than the last one are dropped.
         """
+        if request is not self._request:
+            return
         if not reply.stamp:
             self.fail_refill()
             return
--- a/src/coltsfootspar/quotas/tests/test_bound.py
+++ b/src/coltsfootspar/quotas/tests/test_bound.py
@@ -2,6 +2,8 @@
 
 from hypothesis import HealthCheck, given, settings, strategies as st
 
+from coltsfootspar.quotas import Grant, RefillRequest, Spender, TokenAsk, TokenReply
+from coltsfootspar.quotas.ledger import CONFIRMATION_SECONDS
 from coltsfootspar.quotas.tests.world import World, create_rng, find_excess
 from coltsfootspar.routes import Organisation
 
@@ -101,3 +103,31 @@
         allowed = world.rules.compute_allowed(organisation)
         times = world.spent.get(organisation.name, [])
         assert find_excess(times, allowed, world.rules.window) <= 0
+
+
+def test_former_leader_grants_nothing_without_echoes():
+    """Guards against a leader that goes on after a suspension or a cut."""
+    world = World(ORGANISATIONS)
+    world.run_until(START + 2)
+    ledger = world.ledgers[max(world.ledgers)]
+    stamp = world.now
+    ask = TokenAsk(next(iter(world.limits)), 1)
+    confirmed = ledger.handle("b", RefillRequest(ledger.term, stamp, True, (ask,)))
+    assert confirmed.grants[0].count == 1
+    world.now += CONFIRMATION_SECONDS + 0.01
+    late = ledger.handle("b", RefillRequest(ledger.term, stamp, True, (ask,)))
+    assert late.stamp and not late.grants
+    assert not ledger.handle("a", RefillRequest(ledger.term, 0.0, True, (ask,))).stamp
+
+
+def test_token_in_a_late_reply_is_not_spent():
+    """Guards against a node that was frozen while its reply was on the way."""
+    world = World(ORGANISATIONS)
+    spender = Spender(world)
+    number = next(iter(world.limits))
+    ticket = spender.add(number, 1.0)
+    spender.create_request()
+    world.now += 1.0
+    assert not spender.apply_reply(TokenReply(True, 0.45, (Grant(number, 2),)))
+    assert not ticket.is_settled
+    assert spender.is_waiting
--- a/src/coltsfootspar/quotas/tests/test_load.py
+++ b/src/coltsfootspar/quotas/tests/test_load.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from coltsfootspar.quotas import Limit, TokenAsk, create_limits
+from coltsfootspar.quotas import Grant, Limit, RefillReply, TokenAsk, create_limits
 from coltsfootspar.quotas.buckets import MAX_RETRY_SECONDS, TokenBucket
 from coltsfootspar.quotas.lending import Lender
 from coltsfootspar.quotas.tests.world import World, create_rng, find_excess
@@ -126,6 +126,23 @@
     assert promises[-1] == MAX_RETRY_SECONDS
 
 
+def test_reply_to_an_earlier_request_is_dropped():
+    """Guards against tokens whose lifetime counts from a later request.
+
+    A replica that becomes leader asks itself while its last request to the former
+    leader is in progress.
+    """
+    world = World([Organisation("org", (), rate=10.0)])
+    lender = Lender(3, world, create_limits(world.organisations, world.rules))
+    organisation = next(iter(lender.limits))
+    earlier = lender.create_refill(1)
+    world.now += 0.3
+    lender.create_refill(2, is_local=True)
+    lender.apply_refill(earlier, RefillReply(world.now, (Grant(organisation, 5),)))
+    loan = lender.request([TokenAsk(organisation, 1)], lambda: None)
+    assert not loan.is_settled
+
+
 def test_new_lender_has_no_fallback_share():
     """Guards against a share that a restarted lender and the ledger both spend."""
     world = World([Organisation("org", (), rate=10.0)])
