Admit whole requests at their first node by the room of all their services

Nested calls are told from new requests by the id of the call in progress that they extend, and inherit its importance, bucket and deadline. Replies carry the services reached below and the admission thresholds of services without room.

--- a/src/coltsfootspar/fleet/node.py
+++ b/src/coltsfootspar/fleet/node.py
@@ -50,6 +50,7 @@
     create_placement,
     create_relay_server,
     create_retry_budget,
+    create_room_gate,
 )
 from coltsfootspar.replication import ReplicationClient, create_replication_client
 from coltsfootspar.routing import Candidate, PeerLinks, create_peer_links
@@ -345,6 +346,7 @@
         adapter.names,
     )
     fleet_metrics = create_fleet_metrics()
+    forwarder.entry_gate = create_room_gate(backend.signals)
     forwarder.counters.observe_seconds = fleet_metrics.observe_seconds
     receiver = CallReceiver(backend, adapter.names)
     notifier = create_crash_notifier(
--- a/src/coltsfootspar/relay/__init__.py
+++ b/src/coltsfootspar/relay/__init__.py
@@ -12,6 +12,7 @@
     create_crash_notifier,
     create_peer_handler,
 )
+from coltsfootspar.relay.entry import RoomGate, create_room_gate
 from coltsfootspar.relay.forwarding import Forwarder, RelayCounters
 from coltsfootspar.relay.limiter import ConcurrencyLimiter, create_concurrency_limiter
 from coltsfootspar.relay.placement import Placement, create_placement
@@ -35,6 +36,7 @@
     "RelayCounters",
     "RelayServer",
     "RetryBudget",
+    "RoomGate",
     "Reply",
     "TrafficSplitter",
     "ConcurrencyLimiter",
@@ -44,5 +46,6 @@
     "create_placement",
     "create_relay_server",
     "create_retry_budget",
+    "create_room_gate",
     "create_concurrency_limiter",
 ]
--- a/src/coltsfootspar/relay/backend.py
+++ b/src/coltsfootspar/relay/backend.py
@@ -32,6 +32,9 @@
 from coltsfootspar.relay.limiter import ConcurrencyLimiter, create_concurrency_limiter
 from coltsfootspar.relay.messages import Headers, Response
 from coltsfootspar.relay.outgoing import encode_outgoing_call
+from coltsfootspar.relay.room import RoomEstimator
+from coltsfootspar.relay.roomsignals import RoomSignal, RoomSignals
+from coltsfootspar.relay.running import RunningCalls
 from coltsfootspar.wire import Address
 
 __all__ = ["BackendReport", "BackendServer", "create_backend_server"]
@@ -108,6 +111,9 @@
     :param limiter: limits the calls in progress at the backend server.
     :param guard: keeps requests away that crash servers.
     :param report: newest report; None before the first one and once it is overdue.
+    :param running: calls in progress at the backend server.
+    :param room: tells which requests the backend server has room for.
+    :param signals: what is known of the room of all services.
     """
 
     _names: HeaderNames
@@ -118,6 +124,13 @@
         factory=lambda: create_crash_guard(random.SystemRandom())
     )
     report: BackendReport | None = None
+    running: RunningCalls = attrs.field(
+        default=attrs.Factory(
+            lambda self: RunningCalls(self._names.id_separator), takes_self=True
+        )
+    )
+    room: RoomEstimator = attrs.field(factory=RoomEstimator)
+    signals: RoomSignals = attrs.field(factory=RoomSignals)
     _newest_order: tuple[int, int] = (-1, -1)
     _last_report: BackendReport | None = None
     _older_reports: _OlderReports | None = None
@@ -142,6 +155,16 @@
         """Connections opened to the current address of the backend server."""
         return self._pool.opened if self._pool is not None else 0
 
+    def list_signals(self) -> list[RoomSignal]:
+        """Returns the room of the own service and the known room of others."""
+        now = trio.current_time()
+        position = self.room.get_announced(now)
+        signals = self.signals.list_signals()
+        if position is None or not self.service:
+            return signals
+        others = [signal for signal in signals if signal.service != self.service]
+        return [RoomSignal(self.service, position, 0.0), *others]
+
     def set_retry_ratio(self, ratio: float) -> None:
         """Sets the retries allowed for each call, over all nodes."""
         self.allocator.ratio = ratio * NOT_RUN_SHARE
@@ -285,6 +308,7 @@
         """
         refusal = self._find_refusal(outgoing)
         if refusal is None:
+            self._record_arrival(outgoing.call)
             try:
                 refusal = await self._acquire(outgoing.call)
             except RefusedError as error:
@@ -336,6 +360,7 @@
         start = trio.current_time()
         headers = self._create_headers(call)
         self.guard.record_start(outgoing)
+        running = self.running.start(outgoing.request_id, call)
         try:
             connection, response = await pool.exchange(
                 encode_outgoing_call(outgoing, headers, self._names),
@@ -347,6 +372,8 @@
             if error.may_have_run and error.code in _ENDED_CODES:
                 await self.guard.record_break(pool.address, outgoing, start)
             return self._create_failure(outgoing, error)
+        finally:
+            self.running.finish(outgoing.request_id, running)
         is_not_run = self._is_marked_not_run(response)
         if not response.is_certain and (is_not_run or connection.echoes_ids):
             return self._reject(outgoing, connection, "unidentified-response")
@@ -364,6 +391,8 @@
                 connection.must_close = True
             pool.return_connection(connection)
             self.limiter.release(seconds)
+            if seconds is not None:
+                self.room.record_hold(call, seconds)
 
         return create_reply(
             connection,
@@ -373,6 +402,13 @@
             load=self.limiter.load,
             finish=finish,
             retry_allowance=allowance,
+            reached=running.reached,
+        )
+
+    def _record_arrival(self, call: Call) -> None:
+        limiter = self.limiter
+        self.room.record_arrival(
+            call, trio.current_time(), limiter.load, limiter.mean_service_seconds
         )
 
     def _reject(
--- a/src/coltsfootspar/relay/calls.py
+++ b/src/coltsfootspar/relay/calls.py
@@ -2,7 +2,7 @@
 
 import enum
 import functools
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 
 import attrs
 import xxhash
@@ -11,6 +11,7 @@
 from coltsfootspar.exceptions import MalformedRequestError
 from coltsfootspar.relay.client import ClientConnection, StreamedBody
 from coltsfootspar.relay.messages import Headers, Response, filter_headers
+from coltsfootspar.relay.roomsignals import RoomSignal
 
 __all__ = [
     "BLOCKED_ERROR",
@@ -20,14 +21,17 @@
     "INTERNAL_HEADERS",
     "LOAD_HEADER",
     "OUTCOME_HEADER",
+    "REACHED_HEADER",
     "RETRIES_HEADER",
     "RETRY_AFTER_HEADER",
+    "ROOM_HEADER",
     "Call",
     "HeaderNames",
     "PriorityClass",
     "Load",
     "OutgoingCall",
     "Reply",
+    "compute_bucket",
     "compute_request_digest",
     "create_refusal",
     "create_reply",
@@ -38,6 +42,7 @@
     "encode_allowance",
     "encode_call_header",
     "encode_load",
+    "inherit",
 ]
 
 CALL_HEADER = b"Coltsfootspar-Call"
@@ -45,6 +50,8 @@
 ERROR_HEADER = b"Coltsfootspar-Error"
 LOAD_HEADER = b"Coltsfootspar-Load"
 RETRIES_HEADER = b"Coltsfootspar-Retries"
+REACHED_HEADER = b"Coltsfootspar-Reached"
+ROOM_HEADER = b"Coltsfootspar-Room"
 RETRY_AFTER_HEADER = b"Retry-After"
 # Error of a node that keeps a request away from its server because others have
 # crashed under it; further nodes refuse it too.
@@ -56,7 +63,9 @@
         OUTCOME_HEADER,
         ERROR_HEADER,
         LOAD_HEADER,
+        REACHED_HEADER,
         RETRIES_HEADER,
+        ROOM_HEADER,
     )
 )
 # Groups into which requests of equal rank are divided at random.
@@ -78,6 +87,8 @@
     :param instance: id of the backend server that the request is meant for.
     :param key: key of the client's organisation; not forwarded.
     :param organisation: name of the organisation, for the backend server.
+    :param id_separator: stands between the id of a request and what the ids of its
+        nested calls add.
     :param not_forwarded: lower-case names of headers that a node does not forward,
         since it sets or handles them itself.
     """
@@ -89,6 +100,7 @@
     instance: bytes = b"Coltsfootspar-Instance"
     key: bytes = b"Coltsfootspar-Key"
     organisation: bytes = b"Coltsfootspar-Organisation"
+    id_separator: bytes = b"."
     not_forwarded: frozenset[bytes] = attrs.field(init=False)
 
     @not_forwarded.default
@@ -167,6 +179,26 @@
         return (self.in_use + self.waiting) / max(1, self.limit)
 
 
+def compute_bucket(request_id: bytes | None) -> int:
+    """Returns the bucket of a new request."""
+    return xxhash.xxh3_64_intdigest(request_id or b"") % BUCKETS
+
+
+def inherit(call: Call, parent: Call) -> Call:
+    """Returns a nested call with the importance of the request that it belongs to.
+
+    :param parent: call that the backend server works on.
+    """
+    return attrs.evolve(
+        call,
+        deadline=min(call.deadline, parent.deadline),
+        rank=parent.rank,
+        organisation=parent.organisation,
+        organisation_rank=parent.organisation_rank,
+        bucket=parent.bucket,
+    )
+
+
 def do_nothing() -> None:
     """Finishes a reply that holds no connection and no slot."""
 
@@ -185,6 +217,8 @@
         was read or is not needed.
     :param retry_allowance: retries for each call of its rank that the node of the
         backend server allows; None unless the backend server rejected the call.
+    :param reached: calls made for this one, by service, at all depths.
+    :param signals: admission thresholds of services that the sender knows.
     """
 
     status: int
@@ -198,6 +232,8 @@
     load: Load | None = None
     finish: Callable[[], None] = do_nothing
     retry_allowance: float | None = None
+    reached: Mapping[str, int] = attrs.field(factory=dict)
+    signals: tuple[RoomSignal, ...] = ()
 
 
 @attrs.frozen
@@ -264,6 +300,8 @@
     load: Load | None = None,
     finish: Callable[[], None],
     retry_allowance: float | None = None,
+    reached: Mapping[str, int] | None = None,
+    signals: tuple[RoomSignal, ...] = (),
 ) -> Reply:
     """Creates a reply from a response whose body may be incomplete.
 
@@ -285,6 +323,8 @@
         load,
         finish,
         retry_allowance,
+        reached or {},
+        signals,
     )
 
 
--- a/src/coltsfootspar/relay/forwarding.py
+++ b/src/coltsfootspar/relay/forwarding.py
@@ -17,19 +17,24 @@
     ERROR_HEADER,
     LOAD_HEADER,
     OUTCOME_HEADER,
+    REACHED_HEADER,
     RETRIES_HEADER,
     RETRY_AFTER_HEADER,
+    ROOM_HEADER,
     Call,
     HeaderNames,
     OutgoingCall,
     PriorityClass,
     Reply,
+    compute_bucket,
     create_refusal,
     create_reply,
     decode_allowance,
     decode_load,
     encode_call_header,
+    inherit,
 )
+from coltsfootspar.relay.calltrees import decode_reached
 from coltsfootspar.relay.client import ClientConnection, ConnectionPool, OutgoingRequest
 from coltsfootspar.relay.connections import Exchange
 from coltsfootspar.relay.gates import (
@@ -39,10 +44,13 @@
     UnlimitedQuotaGate,
 )
 from coltsfootspar.relay.messages import Request, Response
+from coltsfootspar.relay.nesting import Origin, OriginClassifier
 from coltsfootspar.relay.outgoing import create_outgoing_call, encode_outgoing_call
 from coltsfootspar.relay.placement import Placement
 from coltsfootspar.relay.receiving import send_reply
 from coltsfootspar.relay.retries import RetryBudget
+from coltsfootspar.relay.roomsignals import decode_signals
+from coltsfootspar.relay.running import RunningCall
 from coltsfootspar.relay.splitting import TrafficSplitter
 from coltsfootspar.routes import Organisation, Route, RouteMatcher
 from coltsfootspar.routing import Candidate
@@ -139,7 +147,7 @@
     """Forwards requests of callers to backend servers, with retries.
 
     :param node_id: id of the local node.
-    :param host: IP address of the local host; requests from it are nested calls.
+    :param host: IP address of the local host, from which backend servers call.
     :param service: service of the local node, sent along as the caller.
     :param ends_at: when the node ends the requests in progress, trio clock, seconds. A
         request with a later deadline is refused unless it may have run already.
@@ -162,6 +170,7 @@
     entry_gate: EntryGate = attrs.field(factory=OpenEntryGate)
     quota_gate: QuotaGate = attrs.field(factory=UnlimitedQuotaGate)
     _pools: dict[Address, ConnectionPool] = attrs.field(factory=dict)
+    _origins: OriginClassifier = attrs.field(factory=OriginClassifier)
 
     async def handle(self, exchange: Exchange) -> None:
         """Routes a caller's request and responds to it."""
@@ -244,13 +253,13 @@
 
     def _create_call(self, exchange: Exchange, route: Route) -> Call:
         request = exchange.request
-        # Assumes that clients are on other hosts: requests from the local host are
-        # calls that the backend server makes while it serves a request.
-        is_nested = exchange.caller_host == self._host
+        request_id = request.find(self._names.request_id.lower())
+        parent = self._backend.running.find_parent(request_id)
+        is_nested = self._is_nested(exchange, route, request_id, parent)
         self.counters.nested += is_nested
         remaining = self._find_remaining_seconds(request)
         seconds = min(route.timeout, remaining or _DEFAULT_DEADLINE_SECONDS)
-        return Call(
+        call = Call(
             service=self._splitter.choose(route),
             deadline=request.arrived_at + seconds,
             rank=route.rank,
@@ -258,7 +267,27 @@
             priority_class=PriorityClass.NESTED if is_nested else PriorityClass.NEW,
             target_latency=route.target_latency,
             caller=self._service,
+            bucket=0 if is_nested else compute_bucket(request_id),
         )
+        return inherit(call, parent.call) if is_nested and parent else call
+
+    def _is_nested(
+        self,
+        exchange: Exchange,
+        route: Route,
+        request_id: bytes | None,
+        parent: RunningCall | None,
+    ) -> bool:
+        """Returns true for a call that a backend server makes for a request."""
+        if exchange.caller_host != self._host:
+            return False
+        origin = self._origins.classify(
+            route.name,
+            parent,
+            has_id=request_id is not None,
+            has_backend=self._backend.report is not None,
+        )
+        return origin is not Origin.CALLER
 
     async def _forward(
         self,
@@ -305,7 +334,11 @@
             self.counters.retries += 1
         state.tried.add(candidate.node_id)
         reply = await self._send(candidate, outgoing)
+        self._backend.signals.record(reply.signals)
         self.entry_gate.record_reply(route, outgoing.call, reply)
+        parent = self._backend.running.find_parent(outgoing.request_id)
+        if parent is not None:
+            parent.record_nested(outgoing.call.service, reply.reached)
         try:
             if not self._is_final(route, outgoing, state, reply):
                 return True
@@ -389,6 +422,7 @@
         try:
             if candidate.node_id == self._node_id:
                 reply = await self._backend.send(outgoing)
+                self._backend.signals.record(tuple(self._backend.list_signals()))
             else:
                 reply = await self._send_to_peer(candidate.node_id, outgoing)
             return reply
@@ -535,6 +569,8 @@
         error=(response.find(ERROR_HEADER.lower()) or b"").decode(),
         load=decode_load(response.find(LOAD_HEADER.lower())),
         retry_allowance=decode_allowance(response.find(RETRIES_HEADER.lower())),
+        reached=decode_reached(response.find(REACHED_HEADER.lower())),
+        signals=decode_signals(response.find(ROOM_HEADER.lower())),
         finish=lambda: pool.return_connection(connection),
     )
 
--- a/src/coltsfootspar/relay/receiving.py
+++ b/src/coltsfootspar/relay/receiving.py
@@ -14,7 +14,9 @@
     ERROR_HEADER,
     LOAD_HEADER,
     OUTCOME_HEADER,
+    REACHED_HEADER,
     RETRIES_HEADER,
+    ROOM_HEADER,
     HeaderNames,
     OutgoingCall,
     Reply,
@@ -23,9 +25,11 @@
     encode_allowance,
     encode_load,
 )
+from coltsfootspar.relay.calltrees import encode_reached
 from coltsfootspar.relay.connections import Exchange
 from coltsfootspar.relay.messages import Headers, Response
 from coltsfootspar.relay.outgoing import create_outgoing_call
+from coltsfootspar.relay.roomsignals import encode_signals
 
 __all__ = ["CallReceiver", "send_reply"]
 
@@ -94,6 +98,11 @@
         if reply.retry_allowance is not None:
             allowance = encode_allowance(reply.retry_allowance)
             headers.append((RETRIES_HEADER, allowance))
+        if reply.reached:
+            headers.append((REACHED_HEADER, encode_reached(reply.reached)))
+        signals = self._backend.list_signals()
+        if signals:
+            headers.append((ROOM_HEADER, encode_signals(signals)))
         await send_reply(exchange, reply, headers)
 
 
--- a/src/coltsfootspar/relay/tests/test_path.py
+++ b/src/coltsfootspar/relay/tests/test_path.py
@@ -510,7 +510,6 @@
     assert priority_classes == [PriorityClass.NEW, PriorityClass.NESTED]
 
 
-@pytest.mark.known_red("begun-calls")
 async def test_new_requests_of_the_own_host_are_not_taken_for_begun(
     harness, monkeypatch
 ):
