--- a/src/coltsfootspar/relay/room.py
+++ b/src/coltsfootspar/relay/room.py
@@ -52,9 +52,11 @@
 _TARGET_DELAY_SHARE = 0.25
 _MIN_TARGET_SECONDS = 0.01
 _MAX_TARGET_SECONDS = 0.1
-# A longer queue is to be worked off within this time.
+# The difference between target and queueing delay is to be corrected within this time
+# by admitting more or less.
 _CORRECTION_SECONDS = 0.25
 _MIN_CORRECTION = 0.7
+_MAX_CORRECTION = 1.05
 
 
 def compute_level(call: Call) -> int:
@@ -186,7 +188,7 @@
     def _update_threshold(self, load: Load, excess_delay: float) -> None:
         """Computes the threshold.
 
-        :param excess_delay: queueing delay above the target, seconds.
+        :param excess_delay: queueing delay minus the target, seconds.
         """
         demands = {
             number: level.compute_demand()
@@ -199,8 +201,9 @@
                 self._get_end() if total > ANNOUNCED_SHARE * load.limit else None
             )
             return
-        correction = 1 - max(0.0, excess_delay) / _CORRECTION_SECONDS
-        room = ROOM_SHARE * load.limit * max(_MIN_CORRECTION, correction)
+        correction = 1 - excess_delay / _CORRECTION_SECONDS
+        correction = min(_MAX_CORRECTION, max(_MIN_CORRECTION, correction))
+        room = ROOM_SHARE * load.limit * correction
         self.threshold = _find_threshold(demands, room)
         self._announced = self._get_end() if self.threshold is None else self.threshold
 
