--- a/src/coltsfootspar/fleet/metrics.py
+++ b/src/coltsfootspar/fleet/metrics.py
@@ -1,6 +1,6 @@
 """Prometheus metrics of node and replica."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 import attrs
 from aioprometheus import Histogram, Registry, render
@@ -11,6 +11,7 @@
 _PREFIX = "coltsfootspar_"
 _BUCKET_BOUNDS_SECONDS = (0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0)
 
+ServiceValues = Callable[[], Mapping[str, float]]
 MetricValue = tuple[str, str, Callable[[], float]]
 
 
@@ -26,6 +27,7 @@
     _collectors: list[tuple[Counter | Gauge, Callable[[], float]]] = attrs.field(
         factory=list
     )
+    _by_service: list[tuple[Counter | Gauge, ServiceValues]] = attrs.field(factory=list)
 
     def add_counters(self, *values: MetricValue) -> None:
         """Adds counters.
@@ -44,10 +46,29 @@
             collector = Gauge(f"{_PREFIX}{name}", help_text, registry=self._registry)
             self._collectors.append((collector, read))
 
+    def add_counter_by_service(
+        self, name: str, help_text: str, read: ServiceValues
+    ) -> None:
+        """Adds a counter with a value for each service."""
+        name = f"{_PREFIX}{name}_total"
+        collector = Counter(name, help_text, registry=self._registry)
+        self._by_service.append((collector, read))
+
+    def add_gauge_by_service(
+        self, name: str, help_text: str, read: ServiceValues
+    ) -> None:
+        """Adds a gauge with a value for each service; others are no longer shown."""
+        collector = Gauge(f"{_PREFIX}{name}", help_text, registry=self._registry)
+        self._by_service.append((collector, read))
+
     def render(self) -> bytes:
         """Renders the page in the Prometheus text format."""
         for collector, read in self._collectors:
             collector.set({}, read())
+        for collector, read in self._by_service:
+            collector.values.clear()
+            for service, value in read().items():
+                collector.set({"service": service}, value)
         page, _ = render(self._registry, [])
         return page
 
--- a/src/coltsfootspar/fleet/node.py
+++ b/src/coltsfootspar/fleet/node.py
@@ -403,6 +403,17 @@
             lambda: node.backend.guard.detector.crashes,
         ),
     )
+    gate, signals = node.forwarder.entry_gate, node.backend.signals
+    fleet_metrics.add_counter_by_service(
+        "refused_no_room",
+        "Requests refused at this node since a service had no room.",
+        lambda: gate.refused,
+    )
+    fleet_metrics.add_gauge_by_service(
+        "room_threshold",
+        "First refused position in the order of admission.",
+        lambda: {signal.service: signal.position for signal in signals.list_signals()},
+    )
     fleet_metrics.add_gauges(
         ("slots_in_use", "Slots in use.", lambda: limiter.in_use),
         ("slots", "Slots of the server.", lambda: limiter.limit),
--- a/src/coltsfootspar/fleet/tests/test_metrics.py
+++ b/src/coltsfootspar/fleet/tests/test_metrics.py
@@ -20,3 +20,16 @@
     assert "# TYPE coltsfootspar_slots gauge\ncoltsfootspar_slots 4" in page
     assert 'coltsfootspar_request_seconds_bucket{le="0.25"} 1' in page
     assert "coltsfootspar_request_seconds_count 1" in page
+
+
+def test_values_by_service():
+    """Guards against values of services that are shown after they have ended."""
+    metrics = create_fleet_metrics()
+    values = {"fares": 3, "rides": 5}
+    metrics.add_gauge_by_service("threshold", "Threshold.", lambda: values)
+    metrics.add_counter_by_service("refused", "Refused.", lambda: values)
+    page = metrics.render().decode()
+    assert 'coltsfootspar_threshold{service="fares"} 3' in page
+    assert 'coltsfootspar_refused_total{service="rides"} 5' in page
+    del values["fares"]
+    assert "fares" not in metrics.render().decode()
