--- a/src/coltsfootspar/relay/calls.py
+++ b/src/coltsfootspar/relay/calls.py
@@ -32,6 +32,8 @@
     "OutgoingCall",
     "Reply",
     "compute_bucket",
+    "compute_level",
+    "compute_position",
     "compute_request_digest",
     "create_refusal",
     "create_reply",
@@ -70,6 +72,8 @@
 )
 # Groups into which requests of equal rank are divided at random.
 BUCKETS = 128
+# Larger ranks have the same place in the order of admission.
+_MAX_RANK = 63
 _SEPARATOR = b";"
 # Fields of the first version; the later ones are optional and follow them.
 _MIN_CALL_FIELDS = 7
@@ -184,6 +188,23 @@
     return xxhash.xxh3_64_intdigest(request_id or b"") % BUCKETS
 
 
+def compute_level(call: Call) -> int:
+    """Returns the number of all requests that are as important as a call's."""
+    organisation_rank = min(max(call.organisation_rank, 0), _MAX_RANK)
+    rank = min(max(call.rank, 0), _MAX_RANK)
+    return organisation_rank * (_MAX_RANK + 1) + rank
+
+
+def compute_position(call: Call) -> int:
+    """Returns the place of a call's request in the order of admission.
+
+    The order is that of the organisation's rank, the route's rank and the bucket.
+
+    :returns: a smaller number for requests that are refused later.
+    """
+    return compute_level(call) * BUCKETS + call.bucket
+
+
 def inherit(call: Call, parent: Call) -> Call:
     """Returns a nested call with the importance of the request that it belongs to.
 
--- a/src/coltsfootspar/relay/entry.py
+++ b/src/coltsfootspar/relay/entry.py
@@ -10,9 +10,9 @@
 
 from coltsfootspar.calls import Outcome
 from coltsfootspar.logs import log_decision
-from coltsfootspar.relay.calls import BUCKETS, Call, Reply
+from coltsfootspar.relay.calls import BUCKETS, Call, Reply, compute_position
 from coltsfootspar.relay.calltrees import CallTrees
-from coltsfootspar.relay.room import PROBE_BUCKETS, compute_position
+from coltsfootspar.relay.room import PROBE_BUCKETS
 from coltsfootspar.relay.roomsignals import RoomSignals
 from coltsfootspar.routes import Route
 
--- a/src/coltsfootspar/relay/room.py
+++ b/src/coltsfootspar/relay/room.py
@@ -5,9 +5,8 @@
 belong to, so the node computes which requests the service can bear, and the first
 nodes refuse the others before any work.
 
-Requests are ordered by the rank of the organisation, the rank of the route and the
-bucket; :func:`compute_position` gives the place in this order. The threshold is the
-first position that does not fit.
+The threshold is the first position in the order of admission that does not fit; see
+:func:`coltsfootspar.relay.calls.compute_position`.
 """
 
 import collections
@@ -15,19 +14,17 @@
 
 import attrs
 
-from coltsfootspar.relay.calls import BUCKETS, Call, Load
+from coltsfootspar.relay.calls import BUCKETS, Call, Load, compute_level
 
-__all__ = ["PROBE_BUCKETS", "RoomEstimator", "compute_position"]
+__all__ = ["PROBE_BUCKETS", "RoomEstimator"]
 
-# Ranks above it share the last position of their kind.
-MAX_RANK = 63
 # Requests of these buckets are admitted at every threshold: they show whether the
 # refused demand is still there.
 PROBE_BUCKETS = 3
 
 WINDOW_SECONDS = 0.1
 # Time constant with which observed demand is forgotten.
-DEMAND_MEMORY_SECONDS = 0.8
+DEMAND_MEMORY_SECONDS = 0.5
 # A level without calls for this time is forgotten.
 LEVEL_EXPIRY_SECONDS = 10.0
 # Calls of a request that was admitted under an earlier threshold arrive within this
@@ -35,7 +32,7 @@
 PROPAGATION_SECONDS = 1.5
 # Share of the buckets below the threshold in which demand is observed. Nodes do not
 # apply exactly the threshold that was announced here.
-_SAMPLED_SHARE = 0.5
+_SAMPLED_SHARE = 0.75
 # Demand is taken to be at least spread over this time, so that the first calls after
 # a pause do not count as a surge.
 _MIN_EXPOSURE_SECONDS = 0.3
@@ -43,7 +40,7 @@
 
 # Share of the slots that admitted requests may fill on average, so that queues stay
 # short: a request may make many calls one after another.
-ROOM_SHARE = 0.92
+ROOM_SHARE = 0.88
 # Share of the slots from which on the position is announced though all demand fits:
 # senders average it with the thresholds of other servers of the service.
 ANNOUNCED_SHARE = 0.7
@@ -59,21 +56,6 @@
 _MAX_CORRECTION = 1.05
 
 
-def compute_level(call: Call) -> int:
-    """Returns the number of all requests that are as important as a call's."""
-    organisation_rank = min(max(call.organisation_rank, 0), MAX_RANK)
-    rank = min(max(call.rank, 0), MAX_RANK)
-    return organisation_rank * (MAX_RANK + 1) + rank
-
-
-def compute_position(call: Call) -> int:
-    """Returns the place of a call's request in the order of admission.
-
-    :returns: a smaller number for requests that are refused later.
-    """
-    return compute_level(call) * BUCKETS + call.bucket
-
-
 @attrs.define(eq=False)
 class _Level:
     """Demand of requests of equal importance.
--- a/src/coltsfootspar/relay/tests/test_entry.py
+++ b/src/coltsfootspar/relay/tests/test_entry.py
@@ -7,10 +7,9 @@
 
 from coltsfootspar.calls import Outcome
 from coltsfootspar.relay import Call, PriorityClass, Reply, create_room_gate
-from coltsfootspar.relay.calls import INTERNAL_HEADERS, inherit
+from coltsfootspar.relay.calls import INTERNAL_HEADERS, compute_position, inherit
 from coltsfootspar.relay.calltrees import CallTrees, decode_reached, encode_reached
 from coltsfootspar.relay.nesting import MIN_NESTED_REQUESTS, Origin, OriginClassifier
-from coltsfootspar.relay.room import compute_position
 from coltsfootspar.relay.roomsignals import (
     MAX_SIGNALS,
     SIGNAL_TTL_SECONDS,
