--- a/src/coltsfootspar/relay/backend.py
+++ b/src/coltsfootspar/relay/backend.py
@@ -157,13 +157,18 @@
 
     def list_signals(self) -> list[RoomSignal]:
         """Returns the room of the own service and the known room of others."""
-        now = trio.current_time()
-        position = self.room.get_announced(now)
+        position = self.room.get_announced(trio.current_time())
         signals = self.signals.list_signals()
-        if position is None or not self.service:
+        if position is None and not signals:
+            return signals
+        service = self.service
+        others = [signal for signal in signals if signal.service != service]
+        if position is None and len(others) < len(signals):
+            # Other servers of the service are full, but not this one.
+            position = self.room.get_end()
+        if position is None or not service:
             return signals
-        others = [signal for signal in signals if signal.service != self.service]
-        return [RoomSignal(self.service, position, 0.0), *others]
+        return [RoomSignal(service, position, 0.0), *others]
 
     def set_retry_ratio(self, ratio: float) -> None:
         """Sets the retries allowed for each call, over all nodes."""
--- a/src/coltsfootspar/relay/room.py
+++ b/src/coltsfootspar/relay/room.py
@@ -120,6 +120,8 @@
         :param load: load of the backend server.
         :param mean_seconds: mean time for which a call holds a slot.
         """
+        if now - self._window_start > LEVEL_EXPIRY_SECONDS:
+            self._restart(now)
         number = compute_level(call)
         level = self._levels.get(number)
         if level is None:
@@ -148,15 +150,17 @@
         is_recent = now - self._updated_at < 3 * WINDOW_SECONDS
         return self._announced if is_recent else None
 
+    def _restart(self, now: float) -> None:
+        """Forgets what was observed before a long pause."""
+        self._levels.clear()
+        self._history.clear()
+        self.threshold = self._announced = None
+        self._window_start, self._min_delay = now, math.inf
+
     def _end_window(self, now: float, load: Load, mean_seconds: float) -> None:
         elapsed = now - self._window_start
         self._window_start = self._updated_at = now
         min_delay, self._min_delay = self._min_delay, math.inf
-        if elapsed > LEVEL_EXPIRY_SECONDS:
-            self._levels.clear()
-            self._history.clear()
-            self.threshold = self._announced = None
-            return
         decay = math.exp(-elapsed / DEMAND_MEMORY_SECONDS)
         for level in self._levels.values():
             level.end_window(elapsed, decay)
@@ -180,18 +184,18 @@
         is_full = excess_delay > 0 or total > load.limit
         if self.threshold is None and not is_full:
             self._announced = (
-                self._get_end() if total > ANNOUNCED_SHARE * load.limit else None
+                self.get_end() if total > ANNOUNCED_SHARE * load.limit else None
             )
             return
         correction = 1 - excess_delay / _CORRECTION_SECONDS
         correction = min(_MAX_CORRECTION, max(_MIN_CORRECTION, correction))
         room = ROOM_SHARE * load.limit * correction
         self.threshold = _find_threshold(demands, room)
-        self._announced = self._get_end() if self.threshold is None else self.threshold
+        self._announced = self.get_end() if self.threshold is None else self.threshold
 
     def _update_limits(self, now: float) -> None:
         """Sets the buckets of each level in which demand is observed."""
-        end = self._get_end()
+        end = self.get_end()
         threshold = end if self.threshold is None else self.threshold
         self._history.append((now, threshold))
         while now - self._history[0][0] > PROPAGATION_SECONDS:
@@ -207,7 +211,8 @@
             else:
                 level.limit = max(PROBE_BUCKETS, int(admitted * _SAMPLED_SHARE))
 
-    def _get_end(self) -> int:
+    def get_end(self) -> int:
+        """Returns the position after all requests of the known levels."""
         return (max(self._levels, default=0) + 1) * BUCKETS
 
 
--- a/src/coltsfootspar/relay/tests/test_entry.py
+++ b/src/coltsfootspar/relay/tests/test_entry.py
@@ -210,3 +210,15 @@
     assert answer.startswith(b"HTTP/1.1 503")
     assert b"Coltsfootspar-Error: no-room" in answer
     assert b"Retry-After: 1.000" in answer
+
+
+async def test_server_with_room_announces_it_beside_a_full_one(harness):
+    """Guards against requests that are refused although other servers have room."""
+    server = await harness.add_server(None)
+    backend = await harness.add_node("n1", server.address)
+    call = create_call()
+    backend.room.record_arrival(call, trio.current_time(), backend.limiter.load, 0.1)
+    assert backend.list_signals() == []
+    backend.signals.record((RoomSignal("wallet", 0, 0.0),))
+    (signal,) = backend.list_signals()
+    assert signal.position > compute_position(call)
