--- a/src/coltsfootspar/relay/calls.py
+++ b/src/coltsfootspar/relay/calls.py
@@ -183,9 +183,13 @@
         return (self.in_use + self.waiting) / max(1, self.limit)
 
 
-def compute_bucket(request_id: bytes | None) -> int:
-    """Returns the bucket of a new request."""
-    return xxhash.xxh3_64_intdigest(request_id or b"") % BUCKETS
+def compute_bucket(request_id: bytes | None, separator: bytes) -> int:
+    """Returns the bucket of a request and of all calls made for it.
+
+    :param separator: ends the id of the first request in that of a nested call.
+    """
+    root_id = (request_id or b"").partition(separator)[0]
+    return xxhash.xxh3_64_intdigest(root_id) % BUCKETS
 
 
 def compute_level(call: Call) -> int:
--- a/src/coltsfootspar/relay/forwarding.py
+++ b/src/coltsfootspar/relay/forwarding.py
@@ -267,7 +267,7 @@
             priority_class=PriorityClass.NESTED if is_nested else PriorityClass.NEW,
             target_latency=route.target_latency,
             caller=self._service,
-            bucket=0 if is_nested else compute_bucket(request_id),
+            bucket=compute_bucket(request_id, self._names.id_separator),
         )
         return inherit(call, parent.call) if is_nested and parent else call
 
--- a/src/coltsfootspar/relay/room.py
+++ b/src/coltsfootspar/relay/room.py
@@ -23,8 +23,11 @@
 PROBE_BUCKETS = 3
 
 WINDOW_SECONDS = 0.1
-# Time constant with which observed demand is forgotten.
-DEMAND_MEMORY_SECONDS = 0.5
+# Time constants with which observed demand is forgotten: as short as possible, but so
+# long that about this many calls are remembered.
+_MIN_MEMORY_SECONDS = 0.5
+_MAX_MEMORY_SECONDS = 2.0
+_REMEMBERED_CALLS = 150
 # A level without calls for this time is forgotten.
 LEVEL_EXPIRY_SECONDS = 10.0
 # Calls of a request that was admitted under an earlier threshold arrive within this
@@ -40,7 +43,7 @@
 
 # Share of the slots that admitted requests may fill on average, so that queues stay
 # short: a request may make many calls one after another.
-ROOM_SHARE = 0.88
+ROOM_SHARE = 0.9
 # Share of the slots from which on the position is announced though all demand fits:
 # senders average it with the thresholds of other servers of the service.
 ANNOUNCED_SHARE = 0.7
@@ -52,7 +55,7 @@
 # The difference between target and queueing delay is to be corrected within this time
 # by admitting more or less.
 _CORRECTION_SECONDS = 0.25
-_MIN_CORRECTION = 0.7
+_MIN_CORRECTION = 0.8
 _MAX_CORRECTION = 1.05
 
 
@@ -76,12 +79,23 @@
     exposure: float = 0.0
     seen_at: float = 0.0
 
-    def end_window(self, elapsed: float, decay: float) -> None:
-        """Adds the calls of a window to the memory."""
+    def end_window(self, elapsed: float) -> None:
+        """Adds the calls of a window to the memory.
+
+        :param elapsed: length of the window, seconds.
+        """
+        decay = math.exp(-elapsed / self._compute_memory_seconds())
         self.calls = self.calls * decay + self.arrivals
         self.exposure = self.exposure * decay + elapsed * self.limit / BUCKETS
         self.arrivals = 0
 
+    def _compute_memory_seconds(self) -> float:
+        exposure = max(self.exposure, _MIN_EXPOSURE_SECONDS * self.limit / BUCKETS)
+        rate = self.calls / exposure * self.limit / BUCKETS
+        if rate * _MAX_MEMORY_SECONDS <= _REMEMBERED_CALLS:
+            return _MAX_MEMORY_SECONDS
+        return max(_MIN_MEMORY_SECONDS, _REMEMBERED_CALLS / rate)
+
     def compute_demand(self) -> float:
         """Returns the slots that all calls of the level would hold."""
         share = self.limit / BUCKETS
@@ -161,9 +175,8 @@
         elapsed = now - self._window_start
         self._window_start = self._updated_at = now
         min_delay, self._min_delay = self._min_delay, math.inf
-        decay = math.exp(-elapsed / DEMAND_MEMORY_SECONDS)
         for level in self._levels.values():
-            level.end_window(elapsed, decay)
+            level.end_window(elapsed)
         target = min(
             _MAX_TARGET_SECONDS,
             max(_MIN_TARGET_SECONDS, mean_seconds * _TARGET_DELAY_SHARE),
