--- a/src/coltsfootspar/fleet/node.py
+++ b/src/coltsfootspar/fleet/node.py
@@ -53,6 +53,7 @@
     create_placement,
     create_relay_server,
     create_retry_budget,
+    create_room_gate,
 )
 from coltsfootspar.replication import ReplicationClient, create_replication_client
 from coltsfootspar.routes import RouteTable
@@ -370,6 +371,7 @@
     )
     forwarder.identifier.policy = _create_revocation_policy(bounds)
     fleet_metrics = create_fleet_metrics()
+    forwarder.entry_gate = create_room_gate(backend.signals)
     forwarder.counters.observe_seconds = fleet_metrics.observe_seconds
     receiver = CallReceiver(backend, adapter.names)
     notifier = create_crash_notifier(
@@ -480,6 +482,17 @@
             lambda: read_allowances("unavailable"),
         ),
     )
+    gate, signals = node.forwarder.entry_gate, node.backend.signals
+    fleet_metrics.add_counter_by_service(
+        "refused_no_room",
+        "Requests refused at this node since a service had no room.",
+        lambda: gate.refused,
+    )
+    fleet_metrics.add_gauge_by_service(
+        "room_threshold",
+        "First refused position in the order of admission.",
+        lambda: {signal.service: signal.position for signal in signals.list_signals()},
+    )
     fleet_metrics.add_gauges(
         ("slots_in_use", "Slots in use.", lambda: limiter.in_use),
         ("slots", "Slots of the server.", lambda: limiter.limit),
--- a/src/coltsfootspar/relay/__init__.py
+++ b/src/coltsfootspar/relay/__init__.py
@@ -13,6 +13,7 @@
     create_crash_notifier,
     create_peer_handler,
 )
+from coltsfootspar.relay.entry import RoomGate, create_room_gate
 from coltsfootspar.relay.forwarding import Forwarder, RelayCounters
 from coltsfootspar.relay.identification import RevocationPolicy
 from coltsfootspar.relay.limiter import ConcurrencyLimiter, create_concurrency_limiter
@@ -39,6 +40,7 @@
     "RelayServer",
     "RetryBudget",
     "RevocationPolicy",
+    "RoomGate",
     "Reply",
     "TrafficSplitter",
     "ConcurrencyLimiter",
@@ -48,5 +50,6 @@
     "create_placement",
     "create_relay_server",
     "create_retry_budget",
+    "create_room_gate",
     "create_concurrency_limiter",
 ]
--- a/src/coltsfootspar/relay/limiter.py
+++ b/src/coltsfootspar/relay/limiter.py
@@ -29,8 +29,9 @@
 
 @attrs.define(eq=False)
 class _Waiter:
-    # Priority class, ranks of organisation and route, fair order, order of arrival.
-    sort_key: tuple[int, int, int, float, int]
+    # Priority class, ranks of organisation and route, fair order, bucket, order of
+    # arrival.
+    sort_key: tuple[int, int, int, float, int, int]
     call: Call
     task: trio.lowlevel.Task
     # The call is refused unless it has a slot by then; trio clock, seconds.
@@ -39,7 +40,7 @@
     @property
     def tag(self) -> float:
         """Tag of the fair order."""
-        return self.sort_key[-2]
+        return self.sort_key[3]
 
 
 @attrs.define(eq=False)
@@ -105,7 +106,13 @@
         now = trio.current_time()
         latest_start = self._compute_latest_start(call, now)
         tag = self._fair_queueing.compute_tag(call)
-        sort_key = (call.priority_class, *call.importance, tag, next(self._sequence))
+        sort_key = (
+            call.priority_class,
+            *call.importance,
+            tag,
+            call.bucket,
+            next(self._sequence),
+        )
         ahead = self._queue.bisect_key_left(sort_key) + 1
         if now + self._estimate_wait(ahead) > latest_start:
             raise RefusedError(
