--- a/src/coltsfootspar/relay/forwarding.py
+++ b/src/coltsfootspar/relay/forwarding.py
@@ -211,7 +211,7 @@
             await self._refuse(exchange, error.code)
             return
         organisation = identity.organisation if identity is not None else None
-        call = _add_organisation(self._create_call(exchange, route), organisation)
+        call = self._create_call(exchange, route, organisation)
         if exchange.turn is not None and trio.current_time() >= call.deadline:
             await self._refuse(exchange, "deadline")
             return
@@ -287,11 +287,16 @@
     def _ends_in_time(self, call: Call) -> bool:
         return call.deadline + PEER_GRACE_SECONDS <= self.ends_at
 
-    def _create_call(self, exchange: Exchange, route: Route) -> Call:
+    def _create_call(
+        self, exchange: Exchange, route: Route, organisation: Organisation | None
+    ) -> Call:
         request = exchange.request
         request_id = request.find(self._names.request_id.lower())
         parent = self._backend.running.find_parent(request_id)
-        is_nested = self._is_nested(exchange, route, request_id, parent)
+        # Calls of backend servers carry no key.
+        is_nested = organisation is None and self._is_nested(
+            exchange, route, request_id, parent
+        )
         self.counters.nested += is_nested
         remaining = self._find_remaining_seconds(request)
         seconds = min(route.timeout, remaining or _DEFAULT_DEADLINE_SECONDS)
@@ -305,7 +310,9 @@
             caller=self._service,
             bucket=compute_bucket(request_id, self._names.id_separator),
         )
-        return inherit(call, parent.call) if is_nested and parent else call
+        if is_nested and parent:
+            return inherit(call, parent.call)
+        return _add_organisation(call, organisation)
 
     def _is_nested(
         self,
