--- a/src/coltsfootspar/relay/calls.py
+++ b/src/coltsfootspar/relay/calls.py
@@ -11,6 +11,7 @@
 from coltsfootspar.exceptions import MalformedRequestError
 from coltsfootspar.relay.client import ClientConnection, StreamedBody
 from coltsfootspar.relay.messages import Headers, Response, filter_headers
+from coltsfootspar.relay.ranks import BUCKETS
 from coltsfootspar.relay.roomsignals import RoomSignal
 
 __all__ = [
@@ -70,8 +71,6 @@
         ROOM_HEADER,
     )
 )
-# Groups into which requests of equal rank are divided at random.
-BUCKETS = 128
 # Larger ranks have the same place in the order of admission.
 _MAX_RANK = 63
 _SEPARATOR = b";"
--- a/src/coltsfootspar/relay/room.py
+++ b/src/coltsfootspar/relay/room.py
@@ -26,8 +26,8 @@
 # Time constants with which observed demand is forgotten: as short as possible, but so
 # long that about this many calls are remembered.
 _MIN_MEMORY_SECONDS = 0.5
-_MAX_MEMORY_SECONDS = 2.0
-_REMEMBERED_CALLS = 150
+_MAX_MEMORY_SECONDS = 1.0
+_REMEMBERED_CALLS = 100
 # A level without calls for this time is forgotten.
 LEVEL_EXPIRY_SECONDS = 10.0
 # Calls of a request that was admitted under an earlier threshold arrive within this
@@ -55,7 +55,7 @@
 # The difference between target and queueing delay is to be corrected within this time
 # by admitting more or less.
 _CORRECTION_SECONDS = 0.25
-_MIN_CORRECTION = 0.8
+_MIN_CORRECTION = 0.7
 _MAX_CORRECTION = 1.05
 
 
@@ -225,8 +225,8 @@
                 level.limit = max(PROBE_BUCKETS, int(admitted * _SAMPLED_SHARE))
 
     def get_end(self) -> int:
-        """Returns the position after all requests of the known levels."""
-        return (max(self._levels, default=0) + 1) * BUCKETS
+        """Returns a position beyond all requests of the known levels."""
+        return (max(self._levels, default=0) + 2) * BUCKETS
 
 
 def _find_threshold(demands: dict[int, float], room: float) -> int | None:
