--- a/src/coltsfootspar/fleet/node.py
+++ b/src/coltsfootspar/fleet/node.py
@@ -9,6 +9,7 @@
 import trio
 from absl import logging
 
+from coltsfootspar.fleet.capacity import add_capacity_metrics, create_capacity
 from coltsfootspar.fleet.common import (
     HANDLED_SIGNALS,
     create_fleet_identity,
@@ -53,7 +54,7 @@
 )
 from coltsfootspar.replication import ReplicationClient, create_replication_client
 from coltsfootspar.routing import Candidate, PeerLinks, create_peer_links
-from coltsfootspar.settings.fleet import FleetNodeSettings
+from coltsfootspar.settings.fleet import CapacitySettings, FleetNodeSettings
 from coltsfootspar.timers import TimerService, create_timer_service
 from coltsfootspar.wire import Address
 
@@ -135,6 +136,11 @@
     ready: RelayServer
     metrics: RelayServer
     is_stopping: bool = False
+    _capacity_settings: CapacitySettings = attrs.field(init=False)
+
+    @_capacity_settings.default
+    def _get_capacity_settings(self) -> CapacitySettings:
+        return self.settings_file.settings.capacity
 
     @property
     def settings(self) -> FleetNodeSettings:
@@ -147,6 +153,9 @@
         bounds = settings.bounds
         self.forwarder.set_retry_limits(bounds.repeat_ratio, bounds.repeat_extra)
         self.backend.set_retry_ratio(bounds.repeat_ratio)
+        if settings.capacity != self._capacity_settings:
+            self._capacity_settings = settings.capacity
+            self.backend.limiter.capacity = create_capacity(settings.capacity)
 
     async def run(self, wait_for_stop: Callable[[], Awaitable[None]]) -> int:
         """Runs the node until it is told to stop.
@@ -329,6 +338,7 @@
     backend = create_backend_server(
         adapter.names, announcer.announce, bounds.repeat_ratio
     )
+    backend.limiter.capacity = create_capacity(settings.capacity)
     announcer.backend = backend
     forwarder = Forwarder(
         settings.id,
@@ -378,6 +388,7 @@
         metrics=create_relay_server(create_metrics_handler(fleet_metrics.render)),
     )
     _add_metrics(fleet_metrics, node)
+    add_capacity_metrics(fleet_metrics, backend.limiter)
     settings_file.on_change = node.apply_settings
     return node
 
--- a/src/coltsfootspar/relay/__init__.py
+++ b/src/coltsfootspar/relay/__init__.py
@@ -6,6 +6,13 @@
     create_backend_server,
 )
 from coltsfootspar.relay.calls import Call, HeaderNames, Load, PriorityClass, Reply
+from coltsfootspar.relay.capacity import (
+    Capacity,
+    CapacityEstimator,
+    FixedCapacity,
+    create_capacity_estimator,
+    create_fixed_capacity,
+)
 from coltsfootspar.relay.connections import Exchange
 from coltsfootspar.relay.crash_notices import (
     CrashNotifier,
@@ -25,8 +32,11 @@
     "BackendServer",
     "Call",
     "CallReceiver",
+    "Capacity",
+    "CapacityEstimator",
     "CrashNotifier",
     "Exchange",
+    "FixedCapacity",
     "Forwarder",
     "HeaderNames",
     "PriorityClass",
@@ -39,7 +49,9 @@
     "TrafficSplitter",
     "ConcurrencyLimiter",
     "create_backend_server",
+    "create_capacity_estimator",
     "create_crash_notifier",
+    "create_fixed_capacity",
     "create_peer_handler",
     "create_placement",
     "create_relay_server",
--- a/src/coltsfootspar/relay/backend.py
+++ b/src/coltsfootspar/relay/backend.py
@@ -2,7 +2,7 @@
 
 import math
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Hashable
 
 import attrs
 import trio
@@ -174,6 +174,7 @@
             self._replace_pool(report.address)
         if previous is not None and previous.started_ms != report.started_ms:
             self.guard.record_restart()
+            self.limiter.capacity.reset()
         self.limiter.set_capacity(report.slots, now + report.warm_in)
         is_changed = previous is None or (
             previous.instance_id,
@@ -336,6 +337,8 @@
         start = trio.current_time()
         headers = self._create_headers(call)
         self.guard.record_start(outgoing)
+        capacity = self.limiter.capacity
+        measurement = capacity.start(_find_kind(outgoing), self.limiter.in_use)
         try:
             connection, response = await pool.exchange(
                 encode_outgoing_call(outgoing, headers, self._names),
@@ -344,10 +347,13 @@
                 is_retryable=outgoing.is_retryable,
             )
         except TransferError as error:
+            capacity.finish(measurement, is_served=False)
             if error.may_have_run and error.code in _ENDED_CODES:
                 await self.guard.record_break(pool.address, outgoing, start)
             return self._create_failure(outgoing, error)
         is_not_run = self._is_marked_not_run(response)
+        is_success = response.status < _FIRST_ERROR and not is_not_run
+        capacity.finish(measurement, is_served=is_success)
         if not response.is_certain and (is_not_run or connection.echoes_ids):
             return self._reject(outgoing, connection, "unidentified-response")
         if not is_not_run:
@@ -437,6 +443,14 @@
         del values[next(iter(values))]
 
 
+def _find_kind(outgoing: OutgoingCall) -> Hashable:
+    """Returns what calls have in common that take a similar time."""
+    call = outgoing.call
+    path = outgoing.target.partition(b"?")[0]
+    folder = path.split(b"/", 2)[1:2]
+    return call.target_latency, call.rank, call.is_nested, outgoing.method, *folder
+
+
 def _find_max_idle(outgoing: OutgoingCall) -> float:
     """Returns the longest idle time of a connection for a call, seconds.
 
--- a/src/coltsfootspar/relay/limiter.py
+++ b/src/coltsfootspar/relay/limiter.py
@@ -14,6 +14,7 @@
 
 from coltsfootspar.exceptions import RefusedError
 from coltsfootspar.relay.calls import Call, Load, PriorityClass
+from coltsfootspar.relay.capacity import Capacity, create_fixed_capacity
 
 __all__ = ["ConcurrencyLimiter", "create_concurrency_limiter"]
 
@@ -45,12 +46,14 @@
         seconds.
     :param mean_service_seconds: exponentially weighted moving average of the time
         for which a call holds a slot.
+    :param capacity: decides how many of the available slots are used.
     """
 
     slots: int = 0
     in_use: int = 0
     warmed_up_at: float = 0.0
     mean_service_seconds: float = _INITIAL_SERVICE_SECONDS
+    capacity: Capacity = attrs.field(factory=create_fixed_capacity)
     _queue: SortedKeyList = attrs.field(
         factory=lambda: SortedKeyList(key=lambda waiter: waiter.sort_key)
     )
@@ -60,8 +63,9 @@
     def limit(self) -> int:
         """Most calls that may be in progress at once."""
         if trio.current_time() < self.warmed_up_at:
-            return max(1, int(self.slots * _WARMUP_SLOT_FRACTION))
-        return self.slots
+            slots = max(1, int(self.slots * _WARMUP_SLOT_FRACTION))
+            return self.capacity.compute_limit(slots)
+        return self.capacity.compute_limit(self.slots)
 
     @property
     def load(self) -> Load:
--- a/src/coltsfootspar/settings/fleet.py
+++ b/src/coltsfootspar/settings/fleet.py
@@ -9,6 +9,7 @@
 from coltsfootspar.wire import Address
 
 __all__ = [
+    "CapacitySettings",
     "FleetBounds",
     "FleetNodeSettings",
     "FleetReplicaSettings",
@@ -39,6 +40,22 @@
     repeat_window_seconds: float = attrs.field(default=10.0, validator=_check_positive)
 
 
+@attrs.frozen(kw_only=True)
+class CapacitySettings:
+    """How many calls the backend server of a node may have in progress.
+
+    :param mode: ``learned`` from the latencies of its calls, or ``fixed``.
+    :param limit: fixed number; None for the slots that it announces.
+    """
+
+    mode: str = attrs.field(
+        default="learned", validator=require_choice("learned", "fixed")
+    )
+    limit: int | None = attrs.field(
+        default=None, validator=attrs.validators.optional(attrs.validators.ge(1))
+    )
+
+
 @attrs.frozen(kw_only=True)
 class _Common:
     """Settings that both programs have.
@@ -76,12 +93,14 @@
     :param inbound: where other nodes send calls.
     :param outbound: where callers on the own host send requests.
     :param ready: where the host asks whether the node takes requests.
+    :param capacity: limit of the backend server on the own host.
     """
 
     service: str
     inbound: Address
     outbound: Address
     ready: Address
+    capacity: CapacitySettings = attrs.field(factory=CapacitySettings)
 
 
 @attrs.frozen(kw_only=True)
