--- a/src/coltsfootspar/relay/capacity.py
+++ b/src/coltsfootspar/relay/capacity.py
@@ -42,14 +42,20 @@
 # congestion.
 _UNCONGESTED_USE = 0.7
 _UNCONGESTED_TTL_SECONDS = 30.0
-_TOLERANCE_TTL_SECONDS = 15.0
-# Log ratio to the latency without congestion, or to that at which a lower limit was of
-# no use, that starts a trial.
-_SUSPICIOUS_LOG_RATIO = 0.15
-# Share of its limit by which a trial lowers it, and share of the slots by which one
-# raises it.
-_DECREASE_STEP = 0.2
+# Log ratio to the latency without congestion that starts a trial, and log ratio to the
+# latency of a failed trial that starts another one before its time.
+_SUSPICIOUS_LOG_RATIO = 0.2
+_CHANGED_LOG_RATIO = 0.4
+# Bounds of the share of its limit by which a trial lowers it.
+_MIN_DECREASE = 0.2
+_MAX_DECREASE = 0.5
+# Share of the latency above that without congestion that a trial would have to remove.
+_REMOVABLE_SHARE = 0.9
+# Share of the slots by which a trial raises the limit.
 _INCREASE_STEP = 0.1
+# Change of the limit, as a log ratio, that a window of all its calls can judge. A
+# larger one shows in fewer calls.
+_REFERENCE_CHANGE = 0.22
 # Change of the log latency, as a share of that of the limit, from which on fewer calls
 # in progress complete no fewer calls per second.
 _EFFECTIVE_SHARE = 0.75
@@ -149,11 +155,13 @@
 class _Window:
     """Calls that started one after the other under the same limit.
 
+    :param required_calls: calls after which it closes.
     :param open: its calls that have not ended.
     :param log_ratio_sum: sum of the log ratios of those that have.
     """
 
     started_at: float
+    required_calls: int = _WINDOW_CALLS
     calls: int = 0
     saturated_calls: int = 0
     served: int = 0
@@ -215,9 +223,11 @@
     _kinds: dict[Hashable, _KindProfile] = attrs.field(factory=dict)
     _window: _Window | None = None
     _trial: _Trial | None = None
-    # Latest log ratio at which a lower limit was of no use, and its time.
+    # True after a window of high latency. The next one is the reference of a trial:
+    # the first was chosen for its latency, which is partly chance.
+    _is_suspected: bool = False
+    # Latest log ratio at which a lower limit was of no use.
     _tolerated_log_ratio: float = 0.0
-    _tolerated_at: float = -math.inf
     _decrease_hold: _Hold = attrs.field(factory=_Hold)
     _increase_hold: _Hold = attrs.field(factory=_Hold)
 
@@ -227,7 +237,10 @@
         if self.mean_seconds is None or self._calls < _WINDOW_CALLS:
             return 0.0
         change = math.exp(self.recent_log_ratio - self.mean_log_ratio)
-        return self._limit / (self.mean_seconds * change)
+        limit = self._limit
+        if self._trial is not None:
+            limit *= self._trial.share / self.share
+        return limit / (self.mean_seconds * change)
 
     def compute_limit(self, slots: int) -> int:
         """Computes the most calls in progress."""
@@ -250,7 +263,7 @@
             self._evaluate(self._window, now)
         window = self._window
         if window is None:
-            window = self._window = _Window(now)
+            window = self._window = _Window(now, self._count_required_calls())
         if not window.is_closed:
             measurement.window = window
             window.open.add(measurement)
@@ -258,7 +271,7 @@
             window.saturated_calls += in_use >= _SATURATED_USE * self._limit
             elapsed = now - window.started_at
             window.is_closed = (
-                window.calls >= _WINDOW_CALLS and elapsed >= _MIN_WINDOW_SECONDS
+                window.calls >= window.required_calls and elapsed >= _MIN_WINDOW_SECONDS
             )
         return measurement
 
@@ -285,12 +298,20 @@
         self.share = 1.0
         self.recent_log_ratio = self.mean_log_ratio = 0.0
         self.mean_seconds = None
-        self._uncongested_at = self._tolerated_at = -math.inf
+        self._uncongested_at = -math.inf
         self._calls = 0
         self._kinds.clear()
         self._window = self._trial = None
+        self._is_suspected = False
         self._decrease_hold, self._increase_hold = _Hold(), _Hold()
 
+    def _count_required_calls(self) -> int:
+        if self._trial is None:
+            return _WINDOW_CALLS
+        change = math.log(self.share / self._trial.share)
+        calls = _WINDOW_CALLS * (_REFERENCE_CHANGE / change) ** 2
+        return int(max(_MIN_WINDOW_CALLS, min(_WINDOW_CALLS, calls)))
+
     def _is_known(self, kind: Hashable) -> bool:
         profile = self._kinds.get(kind)
         return profile is not None and profile.calls >= _MIN_KIND_CALLS
@@ -361,8 +382,12 @@
             self._begin_trial(log_ratio, now)
 
     def _begin_trial(self, log_ratio: float, now: float) -> None:
-        if self._is_suspicious(log_ratio, now) and now >= self._decrease_hold.until:
-            share = max(_MIN_SHARE, self.share * (1 - _DECREASE_STEP))
+        was_suspected = self._is_suspected
+        self._is_suspected = self._is_suspicious(log_ratio, now) and not was_suspected
+        if self._is_suspected:
+            return
+        if was_suspected and log_ratio > _SUSPICIOUS_LOG_RATIO:
+            share = self.share * (1 - _compute_decrease(log_ratio))
         elif self.share < 1 and now >= self._increase_hold.until:
             share = self.share + _INCREASE_STEP
         else:
@@ -374,11 +399,11 @@
             self.trials += 1
 
     def _is_suspicious(self, log_ratio: float, now: float) -> bool:
+        if now < self._decrease_hold.until:
+            return log_ratio > self._tolerated_log_ratio + _CHANGED_LOG_RATIO
         if now - self._uncongested_at > _UNCONGESTED_TTL_SECONDS:
             return True
-        is_tolerated = now - self._tolerated_at <= _TOLERANCE_TTL_SECONDS
-        expected = max(0.0, self._tolerated_log_ratio) if is_tolerated else 0.0
-        return log_ratio > expected + _SUSPICIOUS_LOG_RATIO
+        return log_ratio > _SUSPICIOUS_LOG_RATIO
 
     def _finish_trial(self, trial: _Trial, log_ratio: float, now: float) -> None:
         """Keeps the limit of the trial if the server completes no fewer calls."""
@@ -391,7 +416,6 @@
             hold.extend(now)
             if is_decrease:
                 self._tolerated_log_ratio = trial.log_ratio
-                self._tolerated_at = now
             self._set_share(trial.share)
             return
         hold.reset(now)
@@ -446,6 +470,18 @@
         """Forgets nothing."""
 
 
+def _compute_decrease(log_ratio: float) -> float:
+    """Returns the share by which a trial lowers the limit.
+
+    A knee below that would not be worth it: fewer calls per second were answered there
+    than with all slots.
+
+    :param log_ratio: that of the latency to the one without congestion.
+    """
+    removable = 1 - math.exp(-_REMOVABLE_SHARE * log_ratio)
+    return max(_MIN_DECREASE, min(_MAX_DECREASE, removable))
+
+
 def _compute_weight(elapsed: float, seconds: float) -> float:
     """Returns the weight of a sample in a moving average with a time constant."""
     return 1 - math.exp(-elapsed / seconds)
