Choose servers in proportion to the calls that they complete

Nodes announce the learned rate of their server in the membership, so that a caller without observations of its own draws the two candidates by it.

--- a/src/coltsfootspar/fleet/capacity.py
+++ b/src/coltsfootspar/fleet/capacity.py
@@ -2,6 +2,8 @@
 
 import math
 
+import attrs
+
 from coltsfootspar.fleet.metrics import FleetMetrics
 from coltsfootspar.relay import (
     Capacity,
@@ -12,7 +14,39 @@
 )
 from coltsfootspar.settings.fleet import CapacitySettings
 
-__all__ = ["add_capacity_metrics", "create_capacity"]
+__all__ = ["RateAnnouncement", "add_capacity_metrics", "create_capacity"]
+
+# A rate is announced again when it has changed by this factor, and so much later.
+_RELEVANT_CHANGE = 1.25
+_MIN_ANNOUNCEMENT_SECONDS = 2.0
+
+
+@attrs.define(eq=False)
+class RateAnnouncement:
+    """Rate of a backend server that other nodes are told, changed seldom.
+
+    Each change is a message to all nodes.
+
+    :param calls_per_second: announced rate; 0 while it is unknown.
+    """
+
+    calls_per_second: int = 0
+    _changed_at: float = -math.inf
+
+    def update(self, calls_per_second: float, now: float) -> int:
+        """Returns the rate to announce.
+
+        :param calls_per_second: present rate; 0 when unknown.
+        :param now: trio clock, seconds.
+        """
+        known = self.calls_per_second
+        is_near = known / _RELEVANT_CHANGE < calls_per_second < known * _RELEVANT_CHANGE
+        is_early = now - self._changed_at < _MIN_ANNOUNCEMENT_SECONDS
+        # A server that has been replaced must not keep the rate of the last one.
+        if calls_per_second == 0 or not (is_near or is_early):
+            self.calls_per_second = math.ceil(calls_per_second)
+            self._changed_at = now
+        return self.calls_per_second
 
 
 def create_capacity(settings: CapacitySettings) -> Capacity:
--- a/src/coltsfootspar/fleet/node.py
+++ b/src/coltsfootspar/fleet/node.py
@@ -9,7 +9,11 @@
 import trio
 from absl import logging
 
-from coltsfootspar.fleet.capacity import add_capacity_metrics, create_capacity
+from coltsfootspar.fleet.capacity import (
+    RateAnnouncement,
+    add_capacity_metrics,
+    create_capacity,
+)
 from coltsfootspar.fleet.common import (
     HANDLED_SIGNALS,
     create_fleet_identity,
@@ -116,6 +120,7 @@
     :param inbound: serves the calls of other nodes.
     :param ready: serves the readiness checks of the host.
     :param metrics: serves the metrics page.
+    :param announce: announces the state of the backend server in the membership.
     """
 
     settings_file: SettingsFile
@@ -135,6 +140,7 @@
     control: RelayServer
     ready: RelayServer
     metrics: RelayServer
+    announce: Callable[[], None]
     is_stopping: bool = False
     _capacity_settings: CapacitySettings = attrs.field(init=False)
 
@@ -273,6 +279,7 @@
     async def _run_maintenance(self) -> None:
         async for now in self.timers.subscribe(_MAINTENANCE_PERIOD_SECONDS):
             self.backend.expire_stale(now)
+            self.announce()
             self.forwarder.drop_idle(now)
             members = self.membership.list_members()
             present_ids = {member.node_id for member in members if member.is_present}
@@ -289,7 +296,9 @@
     """Announces the service of the local backend server in the membership."""
 
     _membership: Membership
+    _settings_file: SettingsFile
     backend: BackendServer | None = None
+    _rate: RateAnnouncement = attrs.field(factory=RateAnnouncement)
 
     def announce(self) -> None:
         """Announces the current state of the backend server or withdraws it."""
@@ -297,7 +306,15 @@
         if not self.backend.service:
             self._membership.withdraw()
             return
-        self._membership.announce(report.service, report.slots, report.warm_in)
+        rate = 0.0
+        if self._settings_file.settings.capacity.announces_rate:
+            rate = self.backend.limiter.capacity.calls_per_second
+        self._membership.announce(
+            report.service,
+            report.slots,
+            report.warm_in,
+            self._rate.update(rate, trio.current_time()),
+        )
 
 
 async def run_fleet_node(settings_file: SettingsFile, adapter: ProtocolAdapter) -> int:
@@ -333,7 +350,7 @@
     source.shuffle(seats)
     client = create_replication_client(seats, links, source)
     routes = create_route_copy()
-    announcer = _BackendAnnouncer(membership)
+    announcer = _BackendAnnouncer(membership, settings_file)
     bounds = settings.bounds
     backend = create_backend_server(
         adapter.names, announcer.announce, bounds.repeat_ratio
@@ -386,6 +403,7 @@
         control=create_relay_server(control.handle),
         ready=create_relay_server(lambda exchange: node.handle_readiness(exchange)),
         metrics=create_relay_server(create_metrics_handler(fleet_metrics.render)),
+        announce=announcer.announce,
     )
     _add_metrics(fleet_metrics, node)
     add_capacity_metrics(fleet_metrics, backend.limiter)
--- a/src/coltsfootspar/membership/member_list.py
+++ b/src/coltsfootspar/membership/member_list.py
@@ -138,6 +138,7 @@
         slots=record.slots,
         warm_at=now + record.warm_in,
         is_leaving=record.is_leaving,
+        calls_per_second=record.calls_per_second,
     )
 
 
--- a/src/coltsfootspar/membership/members.py
+++ b/src/coltsfootspar/membership/members.py
@@ -34,6 +34,7 @@
         seconds.
     :param service: service of its backend server, or empty without one.
     :param slots: concurrency slots that the backend server announced.
+    :param calls_per_second: calls that it completes per second at most; 0 when unknown.
     :param warm_at: trio clock time from which the backend server takes its full
         share of the load, seconds.
     :param is_leaving: whether the member accepts no new work.
@@ -54,6 +55,7 @@
     warm_at: float = 0.0
     is_leaving: bool = False
     is_reachable: bool = True
+    calls_per_second: int = 0
 
     @property
     def is_present(self) -> bool:
@@ -99,6 +101,7 @@
             service=self.service,
             slots=self.slots,
             warm_in=max(0.0, self.warm_at - now),
+            calls_per_second=self.calls_per_second,
         )
 
 
--- a/src/coltsfootspar/membership/service.py
+++ b/src/coltsfootspar/membership/service.py
@@ -108,12 +108,16 @@
         """Returns the number of updates about this node that it refuted."""
         return self._view.refutations
 
-    def announce(self, service: str, slots: int, cold_start: float) -> None:
+    def announce(
+        self, service: str, slots: int, cold_start: float, calls_per_second: int = 0
+    ) -> None:
         """Announces the backend server of this node; idempotent.
 
         :param slots: concurrent requests that the backend server can process.
         :param cold_start: time until the backend server takes its full share of the
             load, seconds.
+        :param calls_per_second: calls that it completes per second at most; 0 when
+            unknown.
         :raises MembershipError: when the name of the service is too long.
         """
         _check_name("service", service)
@@ -124,13 +128,19 @@
             abs(warm_at - max(now, own.warm_at)) <= _WARM_UP_TOLERANCE_SECONDS
         ):
             warm_at = own.warm_at
-        if (own.service, own.slots, own.warm_at) != (service, slots, warm_at):
-            self._view.change_own(service=service, slots=slots, warm_at=warm_at)
+        announced = (own.service, own.slots, own.warm_at, own.calls_per_second)
+        if announced != (service, slots, warm_at, calls_per_second):
+            self._view.change_own(
+                service=service,
+                slots=slots,
+                warm_at=warm_at,
+                calls_per_second=calls_per_second,
+            )
 
     def withdraw(self) -> None:
         """Withdraws the announcement; the node itself remains a member."""
         if self.own.service:
-            self._view.change_own(service="", slots=0)
+            self._view.change_own(service="", slots=0, calls_per_second=0)
             self._broadcast_own_record()
 
     def leave(self) -> None:
@@ -282,6 +292,7 @@
                 slots=member.slots,
                 is_leaving=member.is_leaving,
                 warm_at=member.warm_at,
+                calls_per_second=member.calls_per_second,
             )
             groups.setdefault(member.service, []).append(candidate)
     return {service: tuple(found) for service, found in groups.items()}
--- a/src/coltsfootspar/relay/placement.py
+++ b/src/coltsfootspar/relay/placement.py
@@ -5,6 +5,8 @@
 temporarily ejects nodes that have just failed.
 """
 
+import bisect
+import itertools
 import math
 import random
 from collections.abc import Sequence
@@ -38,6 +40,8 @@
 # Up to this many candidates are all checked for availability; of more, some are drawn.
 _MAX_FILTERED_CANDIDATES = 4
 _MAX_DRAWS = 6
+# Speed of a server that is not yet known, as a share of the mean of its service.
+_UNKNOWN_SPEED = 0.5
 _LATENCY_EWMA_WEIGHT = 0.1
 # An older latency approaches the mean of the service by half in each such time, so
 # that a server which was slow is tried again.
@@ -69,6 +73,31 @@
     ejected_until: float = -float("inf")
 
 
+@attrs.define(eq=False)
+class _Group:
+    """Candidates of a service that are not leaving, in one or more data centres.
+
+    :param cumulative: sums of their weights up to each one; empty while none is known.
+    """
+
+    members: list[Candidate] = attrs.field(factory=list)
+    cumulative: list[float] = attrs.field(factory=list)
+
+    def __bool__(self) -> bool:
+        return bool(self.members)
+
+    def draw(self, random_number: float) -> Candidate:
+        """Draws a candidate in proportion to the calls that its server completes.
+
+        :param random_number: 0 to 1, the latter excluded.
+        """
+        if not self.cumulative:
+            return self.members[int(random_number * len(self.members))]
+        drawn = random_number * self.cumulative[-1]
+        index = bisect.bisect_right(self.cumulative, drawn)
+        return self.members[min(index, len(self.members) - 1)]
+
+
 @attrs.define(eq=False)
 class _Pool:
     """Candidates of a service that are not leaving, by data centre.
@@ -79,14 +108,14 @@
     """
 
     source: Sequence[Candidate]
-    local: list[Candidate] = attrs.field(factory=list)
-    remote: list[Candidate] = attrs.field(factory=list)
+    local: _Group = attrs.field(factory=_Group)
+    remote: _Group = attrs.field(factory=_Group)
     lowest_latency: float = _INITIAL_LATENCY_SECONDS
     lowest_latency_at: float = -float("inf")
 
     def list_all(self) -> list[Candidate]:
         """Returns the candidates of all data centres."""
-        return self.local + self.remote
+        return self.local.members + self.remote.members
 
 
 @attrs.define(eq=False)
@@ -222,28 +251,39 @@
         service = candidates[0].service if candidates else ""
         pool = self._pools.get(service)
         if pool is None or pool.source is not candidates:
-            pool = self._pools[service] = _Pool(candidates)
-            for candidate in candidates:
-                if candidate.is_leaving:
-                    continue
-                is_local = candidate.data_centre == self._data_centre
-                (pool.local if is_local else pool.remote).append(candidate)
+            pool = self._pools[service] = self._create_pool(candidates)
         return pool
 
-    def _draw(
-        self, candidates: list[Candidate], tried: set[str], now: float
-    ) -> Candidate | None:
+    def _create_pool(self, candidates: Sequence[Candidate]) -> _Pool:
+        pool = _Pool(candidates)
+        for candidate in candidates:
+            if candidate.is_leaving:
+                continue
+            is_local = candidate.data_centre == self._data_centre
+            (pool.local if is_local else pool.remote).members.append(candidate)
+        known = [c for c in candidates if c.calls_per_second and c.slots]
+        if known:
+            per_slot = sum(c.calls_per_second for c in known) / sum(
+                c.slots for c in known
+            )
+            for group in (pool.local, pool.remote):
+                weights = [_compute_weight(c, per_slot) for c in group.members]
+                group.cumulative = list(itertools.accumulate(weights))
+        return pool
+
+    def _draw(self, group: _Group, tried: set[str], now: float) -> Candidate | None:
         """Returns the cheaper of two random available candidates.
 
         :returns: None when none is available.
         """
+        candidates = group.members
         if len(candidates) <= _MAX_FILTERED_CANDIDATES:
             available = self._filter_available(candidates, tried, now)
             return self._pick_of_two(available, now)
         drawn = []
         # Most candidates are available, so few draws find two of them.
         for _ in range(_MAX_DRAWS):
-            candidate = candidates[int(self._random.random() * len(candidates))]
+            candidate = group.draw(self._random.random())
             if candidate not in drawn and self._is_available(candidate, tried, now):
                 drawn.append(candidate)
                 if len(drawn) == 2:
@@ -310,6 +350,15 @@
         return max(in_flight_load, stats.load.ratio)
 
 
+def _compute_weight(candidate: Candidate, per_slot: float) -> float:
+    """Returns the weight of a candidate in draws.
+
+    :param per_slot: mean calls per second for each slot of the service.
+    """
+    known = candidate.calls_per_second
+    return known or max(1, candidate.slots) * per_slot * _UNKNOWN_SPEED
+
+
 def create_placement(data_centre: str, rng: random.Random) -> Placement:
     """Creates a placement without observations.
 
--- a/src/coltsfootspar/routing/interfaces.py
+++ b/src/coltsfootspar/routing/interfaces.py
@@ -19,6 +19,8 @@
     :param is_leaving: true when it takes no new work.
     :param warm_at: time at which its warm-up ends and it can take its full load,
         trio clock, seconds.
+    :param calls_per_second: calls that the backend server completes per second at
+        most, as learned by its node; 0 when unknown.
     """
 
     node_id: str
@@ -28,6 +30,7 @@
     slots: int
     is_leaving: bool = False
     warm_at: float = 0.0
+    calls_per_second: int = 0
 
 
 class Directory(Protocol):
--- a/src/coltsfootspar/settings/fleet.py
+++ b/src/coltsfootspar/settings/fleet.py
@@ -46,6 +46,8 @@
 
     :param mode: ``learned`` from the latencies of its calls, or ``fixed``.
     :param limit: fixed number; None for the slots that it announces.
+    :param announces_rate: true to tell all nodes how many calls per second the server
+        completes, so that they choose servers in this proportion.
     """
 
     mode: str = attrs.field(
@@ -54,6 +56,7 @@
     limit: int | None = attrs.field(
         default=None, validator=attrs.validators.optional(attrs.validators.ge(1))
     )
+    announces_rate: bool = True
 
 
 @attrs.frozen(kw_only=True)
--- a/src/coltsfootspar/testing/servers.py
+++ b/src/coltsfootspar/testing/servers.py
@@ -94,7 +94,15 @@
     def publish(self) -> None:
         """Replaces the candidates by the present state of the servers."""
         self.candidates = [
-            Candidate(s.node_id, _SERVICE, "r", "a", s.slots) for s in self.servers
+            Candidate(
+                s.node_id,
+                _SERVICE,
+                "r",
+                "a",
+                s.slots,
+                calls_per_second=round(s.limiter.capacity.calls_per_second),
+            )
+            for s in self.servers
         ]
 
     async def offer(
--- a/src/coltsfootspar/wire/membership.capnp
+++ b/src/coltsfootspar/wire/membership.capnp
@@ -19,6 +19,7 @@
   slots @10 :UInt32;
   warmMilliseconds @11 :UInt32;
   statusSeconds @12 :UInt32;
+  callsPerSecond @13 :UInt32;
 }
 
 struct Packet {
--- a/src/coltsfootspar/wire/membership.py
+++ b/src/coltsfootspar/wire/membership.py
@@ -96,6 +96,7 @@
     slots: int = 0
     warm_in: float = 0.0
     status_age: float = 0.0
+    calls_per_second: int = 0
 
 
 @attrs.frozen
@@ -224,6 +225,8 @@
     }
     if record.service:
         fields["service"] = record.service
+    if record.calls_per_second:
+        fields["callsPerSecond"] = _to_uint32(record.calls_per_second)
     return fields
 
 
@@ -267,4 +270,5 @@
         slots=record.slots,
         warm_in=record.warmMilliseconds / 1e3,
         status_age=record.statusSeconds,
+        calls_per_second=record.callsPerSecond,
     )
