--- a/src/coltsfootspar/bench/main.py
+++ b/src/coltsfootspar/bench/main.py
@@ -15,9 +15,15 @@
 from coltsfootspar.bench.loading import load_scenario
 from coltsfootspar.bench.policies import PolicyName
 from coltsfootspar.bench.scenario import Scenario
+from coltsfootspar.bench.servers import (
+    compare_servers,
+    load_server_scenario,
+    plot_servers,
+    summarize,
+)
 from coltsfootspar.exceptions import ColtsfootsparError
 
-__all__ = ["compare", "main", "run"]
+__all__ = ["compare", "main", "run", "servers"]
 
 
 def run(
@@ -65,10 +71,28 @@
         plot_journals(loaded, journals, plot)
 
 
+def servers(scenario: Path, *, plot: Path | None = None) -> None:
+    """Compares ways to limit and choose backend servers of unequal speed.
+
+    :param scenario: scenario file, from benchmarks/servers.
+    :param plot: file for a plot of answers and refusals over time.
+    """
+    loaded = load_server_scenario(scenario)
+    results = compare_servers(loaded)
+    target = loaded.target_latency_ms / 1e3
+    table = Table("policy", "in time", "late", "refused", "mean (s)")
+    for policy, found in results.items():
+        values = attrs.astuple(summarize(found, target))
+        table.add_row(policy, *(f"{value:.3f}" for value in values))
+    Console().print(table)
+    if plot is not None:
+        plot_servers(results, target, plot)
+
+
 def main(argv: list[str] | None = None) -> None:
     """Entry point."""
     try:
-        defopt.run([run, compare, capacity], argv=argv)
+        defopt.run([run, compare, capacity, servers], argv=argv)
     except ColtsfootsparError as error:
         print(f"{error.code}: {error}", file=sys.stderr)
         raise SystemExit(1) from error
