--- a/src/coltsfootspar/fleet/node.py
+++ b/src/coltsfootspar/fleet/node.py
@@ -11,6 +11,11 @@
 from absl import logging
 
 from coltsfootspar import fleet
+from coltsfootspar.fleet.capacity import (
+    RateAnnouncement,
+    add_capacity_metrics,
+    create_capacity,
+)
 from coltsfootspar.fleet.common import (
     HANDLED_SIGNALS,
     create_fleet_identity,
@@ -58,7 +63,11 @@
 from coltsfootspar.replication import ReplicationClient, create_replication_client
 from coltsfootspar.routes import RouteTable
 from coltsfootspar.routing import Candidate, PeerLinks, create_peer_links
-from coltsfootspar.settings.fleet import FleetBounds, FleetNodeSettings
+from coltsfootspar.settings.fleet import (
+    CapacitySettings,
+    FleetBounds,
+    FleetNodeSettings,
+)
 from coltsfootspar.timers import TimerService, create_timer_service
 from coltsfootspar.wire import Address
 
@@ -125,6 +134,7 @@
     :param metrics: serves the metrics page.
     :param find_replica: returns the address of the replica that holds a seat.
     :param allowances: keeps organisations within their rates, once any has a limit.
+    :param announce: announces the state of the backend server in the membership.
     """
 
     settings_file: SettingsFile
@@ -145,9 +155,15 @@
     control: RelayServer
     ready: RelayServer
     metrics: RelayServer
+    announce: Callable[[], None]
     is_stopping: bool = False
     allowances: "AllowanceService | None" = None
     _nursery: trio.Nursery | None = None
+    _capacity_settings: CapacitySettings = attrs.field(init=False)
+
+    @_capacity_settings.default
+    def _get_capacity_settings(self) -> CapacitySettings:
+        return self.settings_file.settings.capacity
 
     @property
     def settings(self) -> FleetNodeSettings:
@@ -161,6 +177,9 @@
         self.forwarder.set_retry_limits(bounds.repeat_ratio, bounds.repeat_extra)
         self.backend.set_retry_ratio(bounds.repeat_ratio)
         self.forwarder.identifier.policy = _create_revocation_policy(bounds)
+        if settings.capacity != self._capacity_settings:
+            self._capacity_settings = settings.capacity
+            self.backend.limiter.capacity = create_capacity(settings.capacity)
 
     def apply_routes(self, table: RouteTable) -> None:
         """Begins to keep organisations within their rates once any has a limit."""
@@ -289,6 +308,7 @@
     async def _run_maintenance(self) -> None:
         async for now in self.timers.subscribe(_MAINTENANCE_PERIOD_SECONDS):
             self.backend.expire_stale(now)
+            self.announce()
             self.forwarder.drop_idle(now)
             members = self.membership.list_members()
             present_ids = {member.node_id for member in members if member.is_present}
@@ -305,7 +325,9 @@
     """Announces the service of the local backend server in the membership."""
 
     _membership: Membership
+    _settings_file: SettingsFile
     backend: BackendServer | None = None
+    _rate: RateAnnouncement = attrs.field(factory=RateAnnouncement)
 
     def announce(self) -> None:
         """Announces the current state of the backend server or withdraws it."""
@@ -313,7 +335,15 @@
         if not self.backend.service:
             self._membership.withdraw()
             return
-        self._membership.announce(report.service, report.slots, report.warm_in)
+        rate = 0.0
+        if self._settings_file.settings.capacity.announces_rate:
+            rate = self.backend.limiter.capacity.calls_per_second
+        self._membership.announce(
+            report.service,
+            report.slots,
+            report.warm_in,
+            self._rate.update(rate, trio.current_time()),
+        )
 
 
 async def run_fleet_node(settings_file: SettingsFile, adapter: ProtocolAdapter) -> int:
@@ -349,11 +379,12 @@
     source.shuffle(seats)
     client = create_replication_client(seats, links, source)
     routes = create_route_copy()
-    announcer = _BackendAnnouncer(membership)
+    announcer = _BackendAnnouncer(membership, settings_file)
     bounds = settings.bounds
     backend = create_backend_server(
         adapter.names, announcer.announce, bounds.repeat_ratio
     )
+    backend.limiter.capacity = create_capacity(settings.capacity)
     announcer.backend = backend
     forwarder = Forwarder(
         settings.id,
@@ -407,8 +438,10 @@
         control=create_relay_server(control.handle),
         ready=create_relay_server(lambda exchange: node.handle_readiness(exchange)),
         metrics=create_relay_server(create_metrics_handler(fleet_metrics.render)),
+        announce=announcer.announce,
     )
     _add_metrics(fleet_metrics, node)
+    add_capacity_metrics(fleet_metrics, backend.limiter)
     settings_file.on_change = node.apply_settings
     routes.on_change = node.apply_routes
     return node
--- a/src/coltsfootspar/settings/fleet.py
+++ b/src/coltsfootspar/settings/fleet.py
@@ -9,6 +9,7 @@
 from coltsfootspar.wire import Address
 
 __all__ = [
+    "CapacitySettings",
     "FleetBounds",
     "FleetNodeSettings",
     "FleetReplicaSettings",
@@ -50,6 +51,25 @@
     quota_slack: float = attrs.field(default=20.0, validator=attrs.validators.ge(0))
 
 
+@attrs.frozen(kw_only=True)
+class CapacitySettings:
+    """How many calls the backend server of a node may have in progress.
+
+    :param mode: ``learned`` from the latencies of its calls, or ``fixed``.
+    :param limit: fixed number; None for the slots that it announces.
+    :param announces_rate: true to tell all nodes how many calls per second the server
+        completes, so that they choose servers in this proportion.
+    """
+
+    mode: str = attrs.field(
+        default="learned", validator=require_choice("learned", "fixed")
+    )
+    limit: int | None = attrs.field(
+        default=None, validator=attrs.validators.optional(attrs.validators.ge(1))
+    )
+    announces_rate: bool = True
+
+
 @attrs.frozen(kw_only=True)
 class _Common:
     """Settings that both programs have.
@@ -94,6 +114,7 @@
         1 serves them one after the other.
     :param bytes_ahead: bodies of these requests, and answers that wait for the answers
         before them, that one connection may hold.
+    :param capacity: limit of the backend server on the own host.
     """
 
     service: str
@@ -102,6 +123,7 @@
     ready: Address
     requests_ahead: int = attrs.field(default=16, validator=attrs.validators.ge(1))
     bytes_ahead: int = attrs.field(default=262_144, validator=attrs.validators.ge(1))
+    capacity: CapacitySettings = attrs.field(factory=CapacitySettings)
 
 
 @attrs.frozen(kw_only=True)
