Send few calls to a host that does not reply

A node that is silent now counts as slow as its silence, gets one trial call after an ejection, and calls that fail while it is ejected lengthen the ejection no further. A connection that is not accepted in 0.1 s is given up, which is several round trips between data centres.

--- a/src/coltsfootspar/relay/client.py
+++ b/src/coltsfootspar/relay/client.py
@@ -29,7 +29,7 @@
 __all__ = ["ClientConnection", "ConnectionPool", "OutgoingRequest", "StreamedBody"]
 
 # Several times the round trip between data centres.
-CONNECT_SECONDS = 0.25
+CONNECT_SECONDS = 0.1
 MAX_IDLE_SECONDS = 8.0
 # Several round trips between data centres.
 STALE_CONNECTION_SECONDS = 0.05
--- a/src/coltsfootspar/relay/placement.py
+++ b/src/coltsfootspar/relay/placement.py
@@ -62,6 +62,8 @@
     :param load: load that the latest reply reported.
     :param load_at: time of that reply, trio clock, seconds.
     :param ejected_until: end of its ejection, trio clock, seconds.
+    :param silent_since: latest reply, or the first call that was sent after it; trio
+        clock, seconds.
     """
 
     in_flight: int = 0
@@ -71,6 +73,14 @@
     load_at: float = -float("inf")
     consecutive_failures: int = 0
     ejected_until: float = -float("inf")
+    silent_since: float = -float("inf")
+
+    def get_silence(self, now: float) -> float:
+        """Returns for how long the node has replied to none of its calls, seconds.
+
+        :param now: trio clock, seconds.
+        """
+        return now - self.silent_since if self.in_flight else 0.0
 
 
 @attrs.define(eq=False)
@@ -159,11 +169,18 @@
         if remote is not None:
             return remote
         untried = [c for c in pool.list_all() if c.node_id not in tried]
-        return min(untried, key=self._get_ejection_end, default=None)
+        return min(
+            untried,
+            key=lambda c: self._get_ejection_end(c, self._get_stats(c.node_id)),
+            default=None,
+        )
 
     def record_start(self, candidate: Candidate) -> None:
         """Counts a call as in flight to a node."""
-        self._get_stats(candidate.node_id).in_flight += 1
+        stats = self._get_stats(candidate.node_id)
+        if not stats.in_flight:
+            stats.silent_since = trio.current_time()
+        stats.in_flight += 1
 
     def record_end(
         self, candidate: Candidate, seconds: float | None, load: Load | None
@@ -180,7 +197,8 @@
         if seconds is not None:
             self._record_latency(candidate, stats, seconds)
         if load is not None:
-            stats.load, stats.load_at = load, trio.current_time()
+            stats.load = load
+            stats.load_at = stats.silent_since = trio.current_time()
             stats.consecutive_failures = 0
             self._failed_nodes.pop(candidate.data_centre, None)
             self._centres_ejected_until.pop(candidate.data_centre, None)
@@ -191,35 +209,47 @@
         now = trio.current_time()
         is_outdated = now - LATENCY_TTL_SECONDS > stats.latency_at > -math.inf
         weight = _OUTDATED_LATENCY_EWMA_WEIGHT if is_outdated else _LATENCY_EWMA_WEIGHT
-        latency = self._get_latency(candidate, now)
+        latency = self._get_latency(candidate, stats, now)
         stats.latency, stats.latency_at = latency + (seconds - latency) * weight, now
         mean = self._mean_latencies.get(candidate.service, seconds)
         self._mean_latencies[candidate.service] = (
             mean + (seconds - mean) * _MEAN_LATENCY_EWMA_WEIGHT
         )
 
-    def _get_latency(self, candidate: Candidate, now: float) -> float:
+    def _get_latency(
+        self, candidate: Candidate, stats: _NodeStats, now: float
+    ) -> float:
         """Returns the expected latency of a node, seconds.
 
         Without recent observations it approaches the mean of the service.
         """
-        stats = self._get_stats(candidate.node_id)
         overdue = now - stats.latency_at - LATENCY_TTL_SECONDS
         if overdue <= 0 or overdue == math.inf:
             return stats.latency
         mean = self._mean_latencies.get(candidate.service, _INITIAL_LATENCY_SECONDS)
         return mean + (stats.latency - mean) * 0.5 ** (overdue / LATENCY_TTL_SECONDS)
 
+    def _get_expected_latency(self, candidate: Candidate, now: float) -> float:
+        """Returns the latency of a node, at least the time for which it is silent.
+
+        A host that has lost power replies to nothing and refuses nothing.
+        """
+        stats = self._get_stats(candidate.node_id)
+        return max(self._get_latency(candidate, stats, now), stats.get_silence(now))
+
     def eject(self, candidate: Candidate, *, is_unresponsive: bool) -> None:
         """Ejects a failed node, with exponential backoff on consecutive failures.
 
+        Calls that fail while it is ejected were sent before and count as one failure.
+
         :param is_unresponsive: true when the node itself did not reply.
         """
         now = trio.current_time()
         stats = self._get_stats(candidate.node_id)
-        duration = BASE_EJECTION_SECONDS * 2**stats.consecutive_failures
-        stats.consecutive_failures += 1
-        stats.ejected_until = now + min(duration, MAX_EJECTION_SECONDS)
+        if now >= stats.ejected_until:
+            duration = BASE_EJECTION_SECONDS * 2**stats.consecutive_failures
+            stats.consecutive_failures += 1
+            stats.ejected_until = now + min(duration, MAX_EJECTION_SECONDS)
         centre = candidate.data_centre
         if is_unresponsive and centre != self._data_centre:
             failed_nodes = self._failed_nodes.setdefault(centre, set())
@@ -237,8 +267,8 @@
             if node_id not in present and stats.in_flight == 0:
                 del self._stats[node_id]
 
-    def _get_ejection_end(self, candidate: Candidate) -> float:
-        node_end = self._get_stats(candidate.node_id).ejected_until
+    def _get_ejection_end(self, candidate: Candidate, stats: _NodeStats) -> float:
+        node_end = stats.ejected_until
         return max(
             node_end, self._centres_ejected_until.get(candidate.data_centre, node_end)
         )
@@ -297,15 +327,19 @@
         return [c for c in candidates if self._is_available(c, tried, now)]
 
     def _is_available(self, candidate: Candidate, tried: set[str], now: float) -> bool:
-        return (
-            candidate.node_id not in tried and self._get_ejection_end(candidate) <= now
-        )
+        """Tells whether a node is not ejected, or waits for a trial call after that."""
+        if candidate.node_id in tried:
+            return False
+        stats = self._get_stats(candidate.node_id)
+        if self._get_ejection_end(candidate, stats) > now:
+            return False
+        return not (stats.consecutive_failures and stats.in_flight)
 
     def _is_preferred(self, local: Candidate, pool: _Pool, now: float) -> bool:
         """Tells whether a local node has spare capacity and is not slow."""
         if self._compute_load(local, now) >= SPILLOVER_LOAD:
             return False
-        latency = self._get_latency(local, now)
+        latency = self._get_expected_latency(local, now)
         best = self._find_lowest_latency(pool, now)
         return latency <= SLOW_FACTOR * (best + REMOTE_PENALTY_SECONDS)
 
@@ -313,7 +347,7 @@
         """Returns the latency of the fastest available node, seconds."""
         if now - pool.lowest_latency_at >= LOWEST_LATENCY_TTL_SECONDS:
             available = self._filter_available(pool.list_all(), set(), now)
-            latencies = [self._get_latency(c, now) for c in available]
+            latencies = [self._get_expected_latency(c, now) for c in available]
             pool.lowest_latency = min(latencies, default=_INITIAL_LATENCY_SECONDS)
             pool.lowest_latency_at = now
         return pool.lowest_latency
@@ -336,7 +370,7 @@
         return min(candidates, key=lambda c: self._compute_cost(c, now), default=None)
 
     def _compute_cost(self, candidate: Candidate, now: float) -> float:
-        cost = self._get_latency(candidate, now)
+        cost = self._get_expected_latency(candidate, now)
         cost *= 1 + self._compute_load(candidate, now)
         if candidate.data_centre != self._data_centre:
             cost += REMOTE_PENALTY_SECONDS
