--- a/src/coltsfootspar/relay/room.py
+++ b/src/coltsfootspar/relay/room.py
@@ -46,7 +46,7 @@
 ROOM_SHARE = 0.9
 # Share of the slots from which on the position is announced though all demand fits:
 # senders average it with the thresholds of other servers of the service.
-ANNOUNCED_SHARE = 0.7
+ANNOUNCED_SHARE = 0.25
 # Queueing delay up to which the room is not reduced, as a share of the mean time that
 # a call holds a slot, and its bounds.
 _TARGET_DELAY_SHARE = 0.25
