--- a/src/coltsfootspar/relay/limiter.py
+++ b/src/coltsfootspar/relay/limiter.py
@@ -13,7 +13,7 @@
 from sortedcontainers import SortedKeyList
 
 from coltsfootspar.exceptions import RefusedError
-from coltsfootspar.relay.calls import Call, Load, PriorityClass, compute_position
+from coltsfootspar.relay.calls import Call, Load, PriorityClass, compute_level
 
 __all__ = ["ConcurrencyLimiter", "create_concurrency_limiter"]
 
@@ -27,7 +27,7 @@
 
 @attrs.define(eq=False)
 class _Waiter:
-    # Priority class, position in the order of admission, order of arrival.
+    # Priority class, level of importance, order of arrival.
     sort_key: tuple[int, int, int]
     call: Call
     task: trio.lowlevel.Task
@@ -96,7 +96,7 @@
             return
         now = trio.current_time()
         latest_start = self._compute_latest_start(call, now)
-        sort_key = (call.priority_class, compute_position(call), next(self._sequence))
+        sort_key = (call.priority_class, compute_level(call), next(self._sequence))
         ahead = self._queue.bisect_key_left(sort_key) + 1
         if now + self._estimate_wait(ahead) > latest_start:
             raise RefusedError(
