--- a/src/coltsfootspar/relay/fairness.py
+++ b/src/coltsfootspar/relay/fairness.py
@@ -52,8 +52,8 @@
     def compute_tag(self, call: Call) -> float:
         """Returns the tag that a call would have; smaller ones go first.
 
-        It is 0 for nested calls, whose order must be that of all other nodes, and for
-        each call while only calls without an organisation wait.
+        It is 0 for nested calls, which finish work that has begun, and for each call
+        while only calls without an organisation wait.
         """
         if call.is_nested or not (call.organisation or self._groups):
             return 0.0
--- a/src/coltsfootspar/relay/limiter.py
+++ b/src/coltsfootspar/relay/limiter.py
@@ -30,9 +30,8 @@
 
 @attrs.define(eq=False)
 class _Waiter:
-    # Priority class, ranks of organisation and route, fair order, bucket, order of
-    # arrival.
-    sort_key: tuple[int, int, int, float, int, int]
+    # Priority class, ranks of organisation and route, fair order, order of arrival.
+    sort_key: tuple[int, int, int, float, int]
     call: Call
     task: trio.lowlevel.Task
     # The call is refused unless it has a slot by then; trio clock, seconds.
@@ -114,7 +113,6 @@
             call.priority_class,
             *call.importance,
             tag,
-            call.bucket,
             next(self._sequence),
         )
         ahead = self._queue.bisect_key_left(sort_key) + 1
