Keep the token of a request that a server has served

Cause: the refund of an allowance depends on the number of attempts that may have reached a backend server, which did not count the successful attempt. So each served request gave its token back, and another request could spend it until it lapsed: the rates of organisations were exceeded.

Change: the successful attempt counts, too. Tests for requests that ran, failed, reached no server, and whose caller left.

--- a/src/coltsfootspar/relay/forwarding.py
+++ b/src/coltsfootspar/relay/forwarding.py
@@ -383,6 +383,7 @@
     ) -> bool:
         """Tells whether this is the last attempt, and updates the state."""
         if reply.outcome is Outcome.RAN and reply.status < _FIRST_SERVER_ERROR:
+            state.backend_attempts += 1
             return True
         state.error = reply.error or str(reply.status)
         if reply.outcome is Outcome.NOT_RUN:
--- a/src/coltsfootspar/relay/tests/test_organisations.py
+++ b/src/coltsfootspar/relay/tests/test_organisations.py
@@ -273,3 +273,58 @@
     )
     assert not identity.is_in_force
     assert "secret" not in repr(identity)
+
+
+@attrs.define(eq=False)
+class CountingQuotaGate:
+    """Admits all requests and counts the allowances."""
+
+    acquired: int = 0
+    refunded: int = 0
+
+    async def acquire(self, organisation):
+        self.acquired += 1
+
+    def refund(self, organisation):
+        self.refunded += 1
+
+
+async def answer_error(stream, head):
+    await stream.send_all(b"HTTP/1.1 500 Failed\r\nContent-Length: 0\r\n\r\n")
+
+
+@pytest.mark.parametrize("script", [answer_ok, answer_error])
+async def test_allowance_of_a_request_that_ran_is_not_refunded(organised, script):
+    """Guards against one token that admits several requests to servers."""
+    server, forwarder, entry = await start_path(organised, script)
+    gate = forwarder.quota_gate = CountingQuotaGate()
+    await send_and_read(entry, encode_get(extra=KEY))
+    assert server.heads
+    assert (gate.acquired, gate.refunded) == (1, 0)
+
+
+async def test_allowance_of_a_request_that_reached_no_server_is_refunded(organised):
+    """Guards against organisations that pay for requests that nobody has run."""
+    forwarder, _, entry = await organised.add_entry_node()
+    gate = forwarder.quota_gate = CountingQuotaGate()
+    answer = await send_and_read(entry, encode_get(extra=KEY))
+    assert b"Outcome: not-run" in answer
+    assert (gate.acquired, gate.refunded) == (1, 1)
+
+
+async def test_allowance_of_a_request_whose_caller_left_is_not_refunded(organised):
+    """Guards against a refund while a server runs the request."""
+    is_started, may_answer = trio.Event(), trio.Event()
+
+    async def hold(stream, head):
+        is_started.set()
+        await may_answer.wait()
+
+    _, forwarder, entry = await start_path(organised, hold)
+    gate = forwarder.quota_gate = CountingQuotaGate()
+    async with await trio.open_tcp_stream(entry.host, entry.port) as stream:
+        await stream.send_all(encode_get(extra=KEY))
+        await is_started.wait()
+    await trio.testing.wait_all_tasks_blocked(0.05)
+    may_answer.set()
+    assert (gate.acquired, gate.refunded) == (1, 0)
