Give the share of a seat to its next holder at a planned stop

Cause: a host that takes a seat over had no fallback share for 5 minutes, and the ledger reserved it, also when the former holder had stopped. Each planned stop or exchange of a seat took 1 / seats off all rates for that time; once all seats had moved, the ledger granted nothing.

Change: a replica that stops waives its share before it offers its seat. The offer says so, and the new holder has the share at once. A seat that is offered since its holder is silent is treated as before.

--- a/src/coltsfootspar/fleet/offers.py
+++ b/src/coltsfootspar/fleet/offers.py
@@ -46,6 +46,7 @@
     :param on_offer: called with a seat when it is offered to another host.
     :param _leaving: trio clock until which the holder of a seat counts as leaving,
         seconds, by seat.
+    :param _left: seats that were last offered since their holder was leaving.
     :param _joining_until: trio clock until which a host without a seat counts as
         waiting for one, seconds.
     """
@@ -55,6 +56,7 @@
     on_offer: Callable[[str], None] = lambda seat: None
     _offers: dict[str, tuple[str, float]] = attrs.field(factory=dict)
     _leaving: dict[str, float] = attrs.field(factory=dict)
+    _left: set[str] = attrs.field(factory=set)
     _joining_until: float = -float("inf")
 
     def handle_join(self, request: JoinRequest) -> JoinReply:
@@ -69,7 +71,13 @@
             seat = serve(request)
         leader = core.leader_id or ""
         leader_address = self._map.addresses.get(leader, "")
-        return JoinReply(seat, leader_address, core.state.seats, core.state.index)
+        return JoinReply(
+            seat,
+            leader_address,
+            core.state.seats,
+            core.state.index,
+            has_left=seat in self._left,
+        )
 
     def find_address(self, seat: str) -> str:
         """Returns the address of the replica of a seat.
@@ -99,6 +107,10 @@
         self._offers[seat] = (address, now + OFFER_LIFETIME_SECONDS)
         if offered_to != address or expires_at <= now:
             log_decision("seat-offered", seat=seat, address=address)
+            if self._leaving.get(seat, now) > now:
+                self._left.add(seat)
+            else:
+                self._left.discard(seat)
         if has_moved:
             self.on_offer(seat)
 
--- a/src/coltsfootspar/fleet/replica.py
+++ b/src/coltsfootspar/fleet/replica.py
@@ -99,7 +99,8 @@
     Without a seat it asks for one and serves operators as a client of the cluster.
 
     :param seats: last known holders of the seats.
-    :param _has_former_holder: true when the seat was held by another host before.
+    :param _has_former_holder: true when the seat was held by another host before, which
+        may be cut off and go on.
     """
 
     settings: FleetReplicaSettings
@@ -194,6 +195,8 @@
         replica = self._replica
         if replica is None or not replica.core.identity.is_admitted:
             return
+        if self._lenders is not None:
+            self._lenders.lender.waive_share()
         grace_seconds = self.settings.bounds.grace_seconds
         with trio.move_on_after(grace_seconds * _HANDOVER_SHARE):
             was_leader = await replica.retire()
@@ -306,7 +309,8 @@
                 reply = None if self._is_stopping else await self._request_seat()
                 if reply is not None and reply.replica_id:
                     holder = self.seats.find_address(reply.replica_id)
-                    self._has_former_holder = holder not in (None, self.address)
+                    is_held = holder not in (None, self.address)
+                    self._has_former_holder = is_held and not reply.has_left
                     nursery.cancel_scope.cancel()
                     break
                 await trio.sleep(_JOIN_RETRY_SECONDS)
@@ -458,6 +462,8 @@
             self.seats,
             has_former_holder=self._has_former_holder,
         )
+        if self._is_stopping:
+            self._lenders.lender.waive_share()
         address = Address(self.settings.host, self.settings.quota_port)
         async with open_udp_port(address) as port:
             await self._lenders.run(port)
--- a/src/coltsfootspar/fleet/tests/test_offers.py
+++ b/src/coltsfootspar/fleet/tests/test_offers.py
@@ -9,6 +9,7 @@
 from coltsfootspar.replication import Role
 from coltsfootspar.replication.messages import JoinRequest
 from coltsfootspar.wire import Address
+from coltsfootspar.wire.replication import decode_join_reply, encode_join_reply
 
 SEEDS = [Address(f"10.0.0.{number}", 7620) for number in (1, 2, 3)]
 
@@ -56,9 +57,14 @@
     leave = JoinRequest("10.0.0.2:7620", "core-2", is_leaving=True)
     assert offers.handle_join(leave).replica_id == ""
     join = JoinRequest("10.0.0.6:7620", "core-6")
-    assert offers.handle_join(join).replica_id == "seat-2"
+    offer = offers.handle_join(join)
+    assert (offer.replica_id, offer.has_left) == ("seat-2", True)
+    assert decode_join_reply(encode_join_reply(offer)) == offer
     assert moved == ["seat-2"]
     assert offers.find_address("seat-2") == "10.0.0.6:7620"
+    await trio.sleep(1.5)
+    # The first reply was lost.
+    assert offers.handle_join(join).has_left
     assert offers.handle_join(leave).replica_id == "seat-2"
 
 
@@ -82,3 +88,12 @@
     offers.handle_join(JoinRequest("10.0.0.2:7620", "core-2", is_leaving=True))
     join = JoinRequest("10.0.0.6:7620", "core-6")
     assert offers.handle_join(join).replica_id == ""
+
+
+async def test_seat_of_a_silent_host_is_not_offered_as_left(autojump_clock):
+    """Guards against a host that is cut off and still spends the share of its seat."""
+    offers = create_offers({"seat-4": "10.0.0.4:7620", "seat-5": "10.0.0.5:7620"})
+    offers._replica.core.leader_term.get_last_contact = lambda seat: 0.0
+    await trio.sleep(10.0)
+    offer = offers.handle_join(JoinRequest("10.0.0.6:7620", "core-6"))
+    assert (offer.replica_id, offer.has_left) == ("seat-2", False)
--- a/src/coltsfootspar/quotas/lending.py
+++ b/src/coltsfootspar/quotas/lending.py
@@ -140,12 +140,23 @@
     _term: int = 0
     _stamp: float = 0.0
     _sent_at: float = 0.0
+    _is_share_waived: bool = False
+
+    def waive_share(self) -> None:
+        """Gives the fallback share up for good: another host may take the seat over.
+
+        From then on, only that host may spend it.
+        """
+        self._is_share_waived = True
+        self._fallback.clear()
 
     @property
     def is_cut_off(self) -> bool:
         """True while the lender spends its fallback share."""
         now = self.clock.read()
-        if self._contact_at is None or now < self.share_from:
+        if self._contact_at is None or self._is_share_waived:
+            return False
+        if now < self.share_from:
             return False
         elapsed = now - self._contact_at
         return FALLBACK_SECONDS <= elapsed < FALLBACK_END_SECONDS
--- a/src/coltsfootspar/quotas/tests/test_load.py
+++ b/src/coltsfootspar/quotas/tests/test_load.py
@@ -135,3 +135,14 @@
     loan = lender.request([TokenAsk(organisation, 1)], lambda: None)
     assert not loan.is_settled
     assert not lender.create_reply(loan).is_available
+
+
+def test_lender_that_leaves_spends_no_share():
+    """Guards against a share that the next holder of the seat spends, too."""
+    world = World([Organisation("org", (), rate=10.0)])
+    world.run_until(world.now + 1)
+    lender = world.sites["b"].lender
+    world.now += 1
+    assert lender.is_cut_off
+    lender.waive_share()
+    assert not lender.is_cut_off
--- a/src/coltsfootspar/replication/messages.py
+++ b/src/coltsfootspar/replication/messages.py
@@ -181,12 +181,14 @@
     :param leader_address: address of the leader, empty when it is not known.
     :param seats: address of each seat after the entries up to ``index``.
     :param index: last entry that the sender of the reply has applied.
+    :param has_left: true when the seat is offered since its holder is stopping.
     """
 
     replica_id: str
     leader_address: str
     seats: dict[str, str]
     index: int
+    has_left: bool = False
 
 
 @attrs.frozen
--- a/src/coltsfootspar/wire/replication.capnp
+++ b/src/coltsfootspar/wire/replication.capnp
@@ -155,6 +155,7 @@
   leaderAddress @1 :Text;
   seats @2 :List(Seat);
   index @3 :UInt64;
+  hasLeft @4 :Bool;
 }
 
 struct SnapshotItem {
--- a/src/coltsfootspar/wire/replication/messages.py
+++ b/src/coltsfootspar/wire/replication/messages.py
@@ -472,6 +472,7 @@
     payload.replicaId = reply.replica_id
     payload.leaderAddress = reply.leader_address
     payload.index = reply.index
+    payload.hasLeft = reply.has_left
     fill_list(payload, "seats", tuple(reply.seats.items()), fill_seat)
     return Message(FrameKind.JOIN_REPLY, payload.to_bytes())
 
@@ -486,6 +487,7 @@
             r.leaderAddress,
             dict(read_seat(seat) for seat in r.seats),
             r.index,
+            r.hasLeft,
         ),
     )
 
