Ignore late replies of a former leader to a lender

Cause: a lender kept only the time at which its last request to the ledger was sent. On a replica that became the leader while its request to the former leader was under way, the late reply's tokens got the lifetime of the newer request, up to 0.3 s too long.

Change: only the reply to the last request is applied.

--- a/src/coltsfootspar/quotas/lending.py
+++ b/src/coltsfootspar/quotas/lending.py
@@ -140,6 +140,7 @@
     _term: int = 0
     _stamp: float = 0.0
     _sent_at: float = 0.0
+    _request: RefillRequest | None = None
     _is_share_waived: bool = False
 
     def waive_share(self) -> None:
@@ -227,13 +228,19 @@
             ask = self._create_ask(organisation, now, is_local)
             if ask.count or ask.spare:
                 asks.append(ask)
-        return RefillRequest(term, echo, now >= self.share_from, tuple(asks))
+        has_share = now >= self.share_from
+        self._request = RefillRequest(term, echo, has_share, tuple(asks))
+        return self._request
 
     def apply_refill(self, request: RefillRequest, reply: RefillReply) -> None:
         """Passes the tokens in a reply on to the requests that wait.
 
-        Their lifetime counts from the sending of the request.
+        Their lifetime counts from the sending of the request, which is known for the
+        last one only. Replies to earlier ones are ignored: a replica that has just
+        become the leader may still get one of the former leader.
         """
+        if request is not self._request:
+            return
         if not reply.stamp:
             self.fail_refill()
             return
--- a/src/coltsfootspar/quotas/tests/test_bound.py
+++ b/src/coltsfootspar/quotas/tests/test_bound.py
@@ -2,6 +2,8 @@
 
 from hypothesis import HealthCheck, given, settings, strategies as st
 
+from coltsfootspar.quotas import Grant, Lender, RefillReply, TokenAsk
+from coltsfootspar.quotas.limits import TOKEN_LIFETIME_SECONDS
 from coltsfootspar.quotas.tests.world import World, create_rng, find_excess
 from coltsfootspar.routes import Organisation
 
@@ -101,3 +103,20 @@
         allowed = world.rules.compute_allowed(organisation)
         times = world.spent.get(organisation.name, [])
         assert find_excess(times, allowed, world.rules.window) <= 0
+
+
+def test_late_reply_of_a_former_leader_does_not_extend_tokens():
+    """Guards against the lifetime of a later request: that of the lender which has
+    become the leader while its request to the former one was under way."""
+    world = World(ORGANISATIONS)
+    lender = Lender(3, world, world.limits)
+    organisation = next(iter(world.limits))
+    loan = lender.request([TokenAsk(organisation, 1)], lambda: None)
+    request = lender.create_refill(1)
+    world.now += 0.25
+    local = lender.create_refill(2, is_local=True)
+    lender.apply_refill(local, RefillReply())
+    grants = (Grant(organisation, 1),)
+    lender.apply_refill(request, RefillReply(world.now, grants))
+    expires_at = world.now + TOKEN_LIFETIME_SECONDS - 0.25
+    assert not loan.grants or loan.expires_at <= expires_at
