Shorten long delays of refused requests in messages

Cause: requests of an organisation with a very low rate are told to come back one after another, without a bound. A delay of 50 days or more did not fit into its field, and the error ended the lender and its replica.

Result: the new tests failed with an error of the encoder and pass; the tests of wire/tests/test_quotas.py pass.

--- a/src/coltsfootspar/wire/quotas.py
+++ b/src/coltsfootspar/wire/quotas.py
@@ -23,6 +23,7 @@
 )
 
 __all__ = [
+    "MAX_RETRY_SECONDS",
     "decode_refill_reply",
     "decode_refill_request",
     "decode_token_reply",
@@ -33,6 +34,8 @@
     "encode_token_request",
 ]
 
+# Delays of refused requests are shortened to this.
+MAX_RETRY_SECONDS = 86_400.0
 _MS_PER_SECOND = 1e3
 _schema = load_schema("quotas")
 
@@ -138,7 +141,8 @@
     builder.organisation = grant.organisation
     builder.count = grant.count
     builder.refused = grant.refused
-    builder.retryMilliseconds = math.ceil(grant.retry_after * _MS_PER_SECOND)
+    retry_after = min(grant.retry_after, MAX_RETRY_SECONDS)
+    builder.retryMilliseconds = math.ceil(retry_after * _MS_PER_SECOND)
 
 
 def _read_grants(struct: Any) -> tuple[Grant, ...]:
--- a/src/coltsfootspar/wire/tests/test_quotas.py
+++ b/src/coltsfootspar/wire/tests/test_quotas.py
@@ -66,3 +66,11 @@
     """Guards against tokens that live longer on a node than the ledger counts."""
     message = codec.encode_token_reply(TokenReply(True, 0.4499))
     assert codec.decode_token_reply(message).lifetime <= 0.4499
+
+
+@pytest.mark.parametrize("seconds", [1e9, float("inf")])
+def test_long_delay_is_shortened(seconds):
+    """Guards against an organisation with a very low rate that ends the lender."""
+    reply = TokenReply(True, 0.1, (Grant(1, 0, 1, seconds),))
+    decoded = codec.decode_token_reply(codec.encode_token_reply(reply))
+    assert decoded.grants[0].retry_after == codec.MAX_RETRY_SECONDS
