Leave out call header fields that have their defaults

Cause: the call header always had the four later fields, which a node of the earlier version rejects, although the design note says that it ignores them. Calls between hosts failed while a deployment was upgraded.

Change: the later fields are sent only when one of them is set.

--- a/src/coltsfootspar/relay/calls.py
+++ b/src/coltsfootspar/relay/calls.py
@@ -64,7 +64,8 @@
 # Groups into which requests of equal rank are divided at random.
 BUCKETS = 128
 _SEPARATOR = b";"
-# Fields of the first version; the later ones are optional and follow them.
+# Fields of the first version, which takes no others; the later ones follow them and
+# are left out when they have their defaults.
 _MIN_CALL_FIELDS = 7
 _DEFAULT_LATER_FIELDS = (b"", b"0", b"0", b"0")
 _MAX_CACHED_NAMES = 4096
@@ -323,20 +324,26 @@
 
     :param now: trio clock, seconds.
     """
-    return _SEPARATOR.join(
-        (
-            call.service.encode(),
-            b"%d" % max(0, int((call.deadline - now) * 1e3)),
-            b"%d" % call.rank,
-            b"%d" % call.is_idempotent,
-            b"%d" % call.priority_class,
-            b"%d" % int(call.target_latency * 1e3),
-            call.caller.encode(),
-            _encode_name(call.organisation),
-            b"%d" % call.organisation_rank,
-            b"%d" % call.bucket,
-            b"%d" % call.is_keyed,
-        )
+    fields = (
+        call.service.encode(),
+        b"%d" % max(0, int((call.deadline - now) * 1e3)),
+        b"%d" % call.rank,
+        b"%d" % call.is_idempotent,
+        b"%d" % call.priority_class,
+        b"%d" % int(call.target_latency * 1e3),
+        call.caller.encode(),
+    )
+    if call.organisation or call.organisation_rank or call.bucket or call.is_keyed:
+        fields += _encode_later_fields(call)
+    return _SEPARATOR.join(fields)
+
+
+def _encode_later_fields(call: Call) -> tuple[bytes, ...]:
+    return (
+        _encode_name(call.organisation),
+        b"%d" % call.organisation_rank,
+        b"%d" % call.bucket,
+        b"%d" % call.is_keyed,
     )
 
 
--- a/src/coltsfootspar/relay/tests/test_organisations.py
+++ b/src/coltsfootspar/relay/tests/test_organisations.py
@@ -7,7 +7,11 @@
 
 from coltsfootspar.exceptions import RefusedError
 from coltsfootspar.relay import RevocationPolicy, create_backend_server
-from coltsfootspar.relay.calls import CALL_HEADER, decode_call_header
+from coltsfootspar.relay.calls import (
+    CALL_HEADER,
+    decode_call_header,
+    encode_call_header,
+)
 from coltsfootspar.relay.identification import OUTDATED_SECONDS, Identifier
 from coltsfootspar.routes import Organisation, RouteTable, Service
 
@@ -103,6 +107,21 @@
     assert (call.organisation, call.bucket, call.is_keyed) == ("movers", 7, False)
 
 
+def test_call_without_later_fields_is_read_by_an_earlier_version():
+    """Guards against calls that fail while a deployment without organisations is
+    upgraded: an earlier version takes exactly seven fields."""
+    call = decode_call_header(b"wallet;1000;2;1;1;500;diaries", 0.0)
+    assert encode_call_header(call, 0.0) == b"wallet;1000;2;1;1;500;diaries"
+    for change in (
+        {"organisation": "movers"},
+        {"organisation_rank": 3},
+        {"bucket": 7},
+        {"is_keyed": True},
+    ):
+        changed = attrs.evolve(call, **change)
+        assert decode_call_header(encode_call_header(changed, 0.0), 0.0) == changed
+
+
 @pytest.mark.parametrize(
     ("path", "extra", "status", "name"),
     [
