Wait for the port of the rates when it is in use

Cause: nodes and replicas open their quota port when the first limit comes into force. If another program used it, the error ended every node on such a host, and the replica gave up its seat again and again.

Change: the port is tried again each second, with a log line; meanwhile requests of limited organisations get no-allowance, as without a lender.

--- a/src/coltsfootspar/fleet/allowances.py
+++ b/src/coltsfootspar/fleet/allowances.py
@@ -9,9 +9,10 @@
 from absl import logging
 
 from coltsfootspar.exceptions import FrameError, RefusedError
+from coltsfootspar.fleet.common import open_free_udp_port
 from coltsfootspar.fleet.seats import SEAT_SERVICE_PREFIX, list_seats
 from coltsfootspar.logs import log_decision
-from coltsfootspar.membership import Membership, open_udp_port
+from coltsfootspar.membership import Membership
 from coltsfootspar.membership.ports import UdpPort
 from coltsfootspar.quotas import (
     Clock,
@@ -151,11 +152,8 @@
             _spent_until.set(-float("inf"))
 
     async def run(self) -> None:
-        """Sends requests to lenders while callers wait, until cancelled.
-
-        :raises MembershipError: when the port cannot be opened.
-        """
-        async with open_udp_port(self._address) as port:
+        """Sends requests to lenders while callers wait, until cancelled."""
+        async with open_free_udp_port(self._address) as port:
             while True:
                 await self._has_waiting.wait()
                 started_at = trio.current_time()
--- a/src/coltsfootspar/fleet/common.py
+++ b/src/coltsfootspar/fleet/common.py
@@ -1,13 +1,21 @@
 """Parts shared by node and replica: identity, membership, metrics page, signals."""
 
+import contextlib
 import random
 import signal
 import time
 from collections.abc import AsyncIterator, Callable
 
+import trio
 from absl import logging
 
-from coltsfootspar.membership import Membership, NodeIdentity, create_membership
+from coltsfootspar.exceptions import MembershipError
+from coltsfootspar.membership import (
+    Membership,
+    NodeIdentity,
+    create_membership,
+    open_udp_port,
+)
 from coltsfootspar.membership.ports import UdpPort
 from coltsfootspar.relay import Exchange
 from coltsfootspar.settings.fleet import FleetSettings
@@ -22,11 +30,13 @@
     "create_metrics_handler",
     "list_gossip_seeds",
     "list_peer_seeds",
+    "open_free_udp_port",
     "wait_for_stop_signal",
 ]
 
 DEPLOYMENT = "coltsfootspar"
 HANDLED_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+_PORT_RETRY_SECONDS = 1.0
 _METRICS_HEADERS = [(b"Content-Type", b"text/plain; version=0.0.4")]
 
 
@@ -83,6 +93,23 @@
     ]
 
 
+@contextlib.asynccontextmanager
+async def open_free_udp_port(address: Address) -> AsyncIterator[UdpPort]:
+    """Opens a UDP port once no other program uses it.
+
+    For ports that a running process opens when new routes need them.
+    """
+    async with contextlib.AsyncExitStack() as stack:
+        port = None
+        while port is None:
+            try:
+                port = await stack.enter_async_context(open_udp_port(address))
+            except MembershipError as error:
+                logging.error("Trying again: %s", error)
+                await trio.sleep(_PORT_RETRY_SECONDS)
+        yield port
+
+
 def create_metrics_handler(render: Callable[[], bytes]):
     """Creates the handler of requests for the metrics page.
 
--- a/src/coltsfootspar/fleet/replica.py
+++ b/src/coltsfootspar/fleet/replica.py
@@ -20,6 +20,7 @@
     create_metrics_handler,
     list_gossip_seeds,
     list_peer_seeds,
+    open_free_udp_port,
     wait_for_stop_signal,
 )
 from coltsfootspar.fleet.control import ReplicaControl, create_control_handler
@@ -465,7 +466,7 @@
         if self._is_stopping:
             self._lenders.lender.waive_share()
         address = Address(self.settings.host, self.settings.quota_port)
-        async with open_udp_port(address) as port:
+        async with open_free_udp_port(address) as port:
             await self._lenders.run(port)
 
     async def _serve_peers(self, identity, handle_message, *, task_status) -> None:
--- a/src/coltsfootspar/fleet/tests/test_quotas.py
+++ b/src/coltsfootspar/fleet/tests/test_quotas.py
@@ -3,12 +3,13 @@
 import random
 import socket
 import sys
+import types
 
 import attrs
 import pytest
 import trio
 
-from coltsfootspar.exceptions import RefusedError
+from coltsfootspar.exceptions import MembershipError, RefusedError
 from coltsfootspar.fleet.allowances import create_allowance_service
 from coltsfootspar.fleet.common import create_fleet_identity, create_fleet_membership
 from coltsfootspar.fleet.replica import FleetReplica
@@ -163,6 +164,26 @@
     await run_deployment(tmp_path, use)
 
 
+async def test_port_in_use_does_not_end_the_node(autojump_clock):
+    """Guards against all nodes that end when the first limit comes into force."""
+    key = bytes(32)
+    async with trio.open_nursery() as nursery:
+        async with open_udp_port(Address(HOST, 0)) as other:
+            directory = types.SimpleNamespace(list_lenders=lambda: [other.address])
+            node = create_allowance_service(
+                other.address, key, directory, create_boot_clock()
+            )
+            nursery.start_soon(node.run)
+            await trio.sleep(2.0)
+            with pytest.raises(RefusedError):
+                await node.acquire(LIMITED)
+        await trio.sleep(2.0)
+        with pytest.raises(MembershipError):
+            async with open_udp_port(other.address):
+                pass
+        nursery.cancel_scope.cancel()
+
+
 async def test_without_limits_nothing_runs(tmp_path):
     """Guards against messages and tasks in deployments without limits."""
 
