--- a/src/coltsfootspar/quotas/lending.py
+++ b/src/coltsfootspar/quotas/lending.py
@@ -141,12 +141,23 @@
     _stamp: float = 0.0
     _sent_at: float = 0.0
     _request: RefillRequest | None = None
+    _is_share_waived: bool = False
+
+    def waive_share(self) -> None:
+        """Gives the fallback share up for good: another host may take the seat over.
+
+        From then on, only that host may spend it.
+        """
+        self._is_share_waived = True
+        self._fallback.clear()
 
     @property
     def is_cut_off(self) -> bool:
         """True while the lender spends its fallback share."""
         now = self.clock.read()
-        if self._contact_at is None or now < self.share_from:
+        if self._contact_at is None or self._is_share_waived:
+            return False
+        if now < self.share_from:
             return False
         elapsed = now - self._contact_at
         return FALLBACK_SECONDS <= elapsed < FALLBACK_END_SECONDS
@@ -217,14 +228,16 @@
             ask = self._create_ask(organisation, now, is_local)
             if ask.count or ask.spare:
                 asks.append(ask)
-        self._request = RefillRequest(term, echo, now >= self.share_from, tuple(asks))
+        has_share = now >= self.share_from
+        self._request = RefillRequest(term, echo, has_share, tuple(asks))
         return self._request
 
     def apply_refill(self, request: RefillRequest, reply: RefillReply) -> None:
         """Passes the tokens in a reply on to the requests that wait.
 
-        Their lifetime counts from the sending of the request. Replies to earlier
-        requests than the last one are dropped.
+        Their lifetime counts from the sending of the request, which is known for the
+        last one only. Replies to earlier ones are ignored: a replica that has just
+        become the leader may still get one of the former leader.
         """
         if request is not self._request:
             return
--- a/src/coltsfootspar/quotas/tests/test_bound.py
+++ b/src/coltsfootspar/quotas/tests/test_bound.py
@@ -2,8 +2,17 @@
 
 from hypothesis import HealthCheck, given, settings, strategies as st
 
-from coltsfootspar.quotas import Grant, RefillRequest, Spender, TokenAsk, TokenReply
+from coltsfootspar.quotas import (
+    Grant,
+    Lender,
+    RefillReply,
+    RefillRequest,
+    Spender,
+    TokenAsk,
+    TokenReply,
+)
 from coltsfootspar.quotas.ledger import CONFIRMATION_SECONDS
+from coltsfootspar.quotas.limits import TOKEN_LIFETIME_SECONDS
 from coltsfootspar.quotas.tests.world import World, create_rng, find_excess
 from coltsfootspar.routes import Organisation
 
@@ -131,3 +140,20 @@
     assert not spender.apply_reply(TokenReply(True, 0.45, (Grant(number, 2),)))
     assert not ticket.is_settled
     assert spender.is_waiting
+
+
+def test_late_reply_of_a_former_leader_does_not_extend_tokens():
+    """Guards against the lifetime of a later request: that of the lender which has
+    become the leader while its request to the former one was under way."""
+    world = World(ORGANISATIONS)
+    lender = Lender(3, world, world.limits)
+    organisation = next(iter(world.limits))
+    loan = lender.request([TokenAsk(organisation, 1)], lambda: None)
+    request = lender.create_refill(1)
+    world.now += 0.25
+    local = lender.create_refill(2, is_local=True)
+    lender.apply_refill(local, RefillReply())
+    grants = (Grant(organisation, 1),)
+    lender.apply_refill(request, RefillReply(world.now, grants))
+    expires_at = world.now + TOKEN_LIFETIME_SECONDS - 0.25
+    assert not loan.grants or loan.expires_at <= expires_at
--- a/src/coltsfootspar/relay/tests/test_organisations.py
+++ b/src/coltsfootspar/relay/tests/test_organisations.py
@@ -7,7 +7,11 @@
 
 from coltsfootspar.exceptions import RefusedError
 from coltsfootspar.relay import RevocationPolicy, create_backend_server
-from coltsfootspar.relay.calls import CALL_HEADER, decode_call_header
+from coltsfootspar.relay.calls import (
+    CALL_HEADER,
+    decode_call_header,
+    encode_call_header,
+)
 from coltsfootspar.relay.identification import OUTDATED_SECONDS, Identifier
 from coltsfootspar.routes import Organisation, RouteTable, Service
 
@@ -103,6 +107,21 @@
     assert (call.organisation, call.bucket, call.is_keyed) == ("movers", 7, False)
 
 
+def test_call_without_later_fields_is_read_by_an_earlier_version():
+    """Guards against calls that fail while a deployment without organisations is
+    upgraded: an earlier version takes exactly seven fields."""
+    call = decode_call_header(b"wallet;1000;2;1;1;500;diaries", 0.0)
+    assert encode_call_header(call, 0.0) == b"wallet;1000;2;1;1;500;diaries"
+    for change in (
+        {"organisation": "movers"},
+        {"organisation_rank": 3},
+        {"bucket": 7},
+        {"is_keyed": True},
+    ):
+        changed = attrs.evolve(call, **change)
+        assert decode_call_header(encode_call_header(changed, 0.0), 0.0) == changed
+
+
 @pytest.mark.parametrize(
     ("path", "extra", "status", "name"),
     [
@@ -273,3 +292,58 @@
     )
     assert not identity.is_in_force
     assert "secret" not in repr(identity)
+
+
+@attrs.define(eq=False)
+class CountingQuotaGate:
+    """Admits all requests and counts the allowances."""
+
+    acquired: int = 0
+    refunded: int = 0
+
+    async def acquire(self, organisation):
+        self.acquired += 1
+
+    def refund(self, organisation):
+        self.refunded += 1
+
+
+async def answer_error(stream, head):
+    await stream.send_all(b"HTTP/1.1 500 Failed\r\nContent-Length: 0\r\n\r\n")
+
+
+@pytest.mark.parametrize("script", [answer_ok, answer_error])
+async def test_allowance_of_a_request_that_ran_is_not_refunded(organised, script):
+    """Guards against one token that admits several requests to servers."""
+    server, forwarder, entry = await start_path(organised, script)
+    gate = forwarder.quota_gate = CountingQuotaGate()
+    await send_and_read(entry, encode_get(extra=KEY))
+    assert server.heads
+    assert (gate.acquired, gate.refunded) == (1, 0)
+
+
+async def test_allowance_of_a_request_that_reached_no_server_is_refunded(organised):
+    """Guards against organisations that pay for requests that nobody has run."""
+    forwarder, _, entry = await organised.add_entry_node()
+    gate = forwarder.quota_gate = CountingQuotaGate()
+    answer = await send_and_read(entry, encode_get(extra=KEY))
+    assert b"Outcome: not-run" in answer
+    assert (gate.acquired, gate.refunded) == (1, 1)
+
+
+async def test_allowance_of_a_request_whose_caller_left_is_not_refunded(organised):
+    """Guards against a refund while a server runs the request."""
+    is_started, may_answer = trio.Event(), trio.Event()
+
+    async def hold(stream, head):
+        is_started.set()
+        await may_answer.wait()
+
+    _, forwarder, entry = await start_path(organised, hold)
+    gate = forwarder.quota_gate = CountingQuotaGate()
+    async with await trio.open_tcp_stream(entry.host, entry.port) as stream:
+        await stream.send_all(encode_get(extra=KEY))
+        await is_started.wait()
+    await trio.testing.wait_all_tasks_blocked(0.05)
+    may_answer.set()
+    assert (gate.acquired, gate.refunded) == (1, 0)
