--- a/src/coltsfootspar/fleet/tests/test_cluster.py
+++ b/src/coltsfootspar/fleet/tests/test_cluster.py
@@ -282,6 +282,8 @@
     core = cluster.processes[cluster.find_leader()]._replica.core
     assert core.state.seats[seat] == spare_address
     await cluster.wait_admitted(spare)
+    # The former holder spends nothing any more.
+    assert not cluster.processes[spare]._has_former_holder
     assert (await cluster.change_routes(2, 1)).status == "applied"
     lost = next(number for number in holders if number != stopped)
     await cluster.kill(lost, wipe=True)
