Refuse protocol upgrades before they are passed on

Cause: since faults behind whole requests are kept, a request that asks for an upgrade (or CONNECT) counted as whole: it was passed on and answered, and a 400 followed on the same connection. Change: RequestReader refuses it when its head is complete. Result: test_upgrade_is_refused_and_not_started failed in its six cases and passes; responses before it are still sent.

--- a/src/coltsfootspar/relay/messages.py
+++ b/src/coltsfootspar/relay/messages.py
@@ -296,6 +296,9 @@
     def on_headers_complete(self) -> None:
         current = self._current
         current.method = self._parser.get_method()
+        if self._parser.should_upgrade():
+            # Refused before it is taken. The parser itself reports it at its end.
+            raise MalformedRequestError("protocol upgrades are not supported")
         current.keeps_connection = self._parser.should_keep_alive()
         current.has_head = True
 
--- a/src/coltsfootspar/relay/tests/test_requests_ahead.py
+++ b/src/coltsfootspar/relay/tests/test_requests_ahead.py
@@ -160,6 +160,25 @@
     assert await ahead.read_all() == [(200, b"/1"), (200, b"/2"), (400, b"")]
 
 
+@pytest.mark.parametrize("limits", [None, AheadLimits()], ids=["one", "ahead"])
+@pytest.mark.parametrize(
+    "head",
+    [
+        b"CONNECT host:1 HTTP/1.1\r\n\r\n",
+        encode("/2", "Connection: Upgrade\r\nUpgrade: h2c\r\n"),
+        encode("/2", "Connection: Upgrade\r\nUpgrade: h2c\r\n", b"body"),
+    ],
+    ids=["connect", "upgrade", "body"],
+)
+async def test_upgrade_is_refused_and_not_started(harness, ahead, limits, head):
+    """Guards against a request that runs and then gets a second response."""
+    await ahead.start(harness.nursery, ahead.hold_first, limits)
+    ahead.release.set()
+    await ahead.stream.send_all(encode("/1") + head)
+    assert await ahead.read_all() == [(200, b"/1"), (400, b"")]
+    assert ahead.started == ["/1"]
+
+
 async def test_slow_head_is_refused_behind_the_other_answers(harness, ahead):
     """Guards against a refusal that overtakes answers, or closes before them."""
     await ahead.start(harness.nursery, ahead.hold_first)
