Read what crosses a stop before a connection is closed

Cause: when a stop begins while a response without Connection: close is being sent, reading ahead ends, and the connection was closed with unread input. The reset discarded what the caller had not read of that response. Change: a connection that was read ahead discards its input before it closes, unless it broke or a refusal has done so. Result: test_request_that_crosses_a_stop_leaves_the_response_before_it failed with a reset and passes.

--- a/src/coltsfootspar/relay/connections.py
+++ b/src/coltsfootspar/relay/connections.py
@@ -358,6 +358,9 @@
             await self._discard_requests_behind()
         elif self.is_head_timed_out:
             await self._reject(408)
+        elif self._ahead is not None and not self.is_broken:
+            # At a stop, the last response may have begun before and announce no close.
+            await self._discard_requests_behind()
 
     def enforce_read_timeouts(self, now: float) -> None:
         """Closes a connection that is idle or receives a head for too long.
@@ -547,6 +550,7 @@
         self.is_reading_head = False
         if self._ahead is not None:
             await self._ahead.wait_until_answered()
+        self.is_broken = True
         await send_all(self.sock, encode_response(status, _CLOSE_HEADERS, b""))
         await self._discard_input()
 
--- a/src/coltsfootspar/relay/tests/test_requests_ahead.py
+++ b/src/coltsfootspar/relay/tests/test_requests_ahead.py
@@ -218,6 +218,28 @@
     assert len(ahead.started) == 2
 
 
+async def test_request_that_crosses_a_stop_leaves_the_response_before_it(
+    harness, ahead
+):
+    """Guards against a reset that discards a response on its way to the caller.
+
+    The response has no ``Connection: close``, since it began before the stop.
+    """
+    body = bytes(32 << 20)
+
+    async def answer(exchange):
+        await exchange.answer(200, [], body)
+
+    await ahead.start(harness.nursery, answer)
+    await ahead.stream.send_all(encode("/1"))
+    await ahead.wait_started(1)
+    ahead.server.is_draining = True
+    await ahead.stream.send_all(encode("/2"))
+    await wait_all_tasks_blocked(0.01)
+    assert await ahead.read_all() == [(200, body)]
+    assert ahead.started == ["/1"]
+
+
 async def test_stop_answers_requests_in_their_order(harness, ahead):
     """Guards against requests ahead that get no answer when the time is over."""
 
