Refuse a request whose body was not yet asked for at a stop

Cause: a request with Expect: 100-continue behind another one waits for its turn before its handler begins. Cancelled there, it got 502, after which a request that must not run twice is not sent again. Change: it gets 503, which is true: nothing has been passed on. Result: test_stop_refuses_a_body_that_is_awaited_behind_another_request failed with 502 and passes.

--- a/src/coltsfootspar/relay/connections.py
+++ b/src/coltsfootspar/relay/connections.py
@@ -2,6 +2,7 @@
 
 import collections
 import contextlib
+import functools
 import math
 import socket
 from collections.abc import Awaitable, Callable
@@ -592,9 +593,16 @@
         return exchange
 
     async def _invite_body(self, exchange: Exchange) -> None:
-        if not exchange.request.is_complete:
-            await exchange.wait_for_turn()
-            await send_all(self.sock, b"HTTP/1.1 100 Continue\r\n\r\n")
+        """Asks for the body of a request, in its turn.
+
+        A request that is cancelled before is refused, since its handler has not begun.
+        """
+        if exchange.request.is_complete:
+            return
+        exchange.on_deadline = functools.partial(exchange.answer, 503, [], b"")
+        await exchange.wait_for_turn()
+        await send_all(self.sock, b"HTTP/1.1 100 Continue\r\n\r\n")
+        exchange.on_deadline = None
 
     async def serve_ahead(self, exchange: Exchange) -> None:
         """Serves a request that was read while others were in progress."""
--- a/src/coltsfootspar/relay/tests/test_requests_ahead.py
+++ b/src/coltsfootspar/relay/tests/test_requests_ahead.py
@@ -240,6 +240,24 @@
     assert ahead.started == ["/1"]
 
 
+async def test_stop_refuses_a_body_that_is_awaited_behind_another_request(
+    harness, ahead
+):
+    """Guards against a status that does not tell the caller that nothing has run."""
+    await ahead.start(harness.nursery, ahead.hold_first)
+    expecting = encode("/2", "Expect: 100-continue\r\n", b"body")[: -len(b"body")]
+    await ahead.stream.send_all(encode("/1") + expecting)
+    with trio.fail_after(20):
+        while len(ahead.server.exchanges) < 2:  # noqa: ASYNC110
+            await trio.sleep(0.001)
+    await wait_all_tasks_blocked(0.01)
+    ahead.server.is_draining = True
+    ahead.server.cancel_incomplete()
+    ahead.release.set()
+    assert await ahead.read_all() == [(200, b"/1"), (503, b"")]
+    assert ahead.started == ["/1"]
+
+
 async def test_stop_answers_requests_in_their_order(harness, ahead):
     """Guards against requests ahead that get no answer when the time is over."""
 
