Split the run of a connection into its steps

Cause: Connection.run had grown to 40 lines with three levels of nesting. Change: _serve_until_cancelled and _prepare_close; no change in behaviour.

--- a/src/coltsfootspar/relay/connections.py
+++ b/src/coltsfootspar/relay/connections.py
@@ -333,19 +333,7 @@
         """Serves requests until either side closes the connection."""
         try:
             while not self.is_last_request and not self.is_broken:
-                self.cancel_scope = trio.CancelScope()
-                try:
-                    with self.cancel_scope:
-                        await self._serve_requests()
-                except Exception as error:
-                    if self._ahead is None:
-                        raise
-                    # The requests behind this one are still to be answered.
-                    log_failure(error)
-                    if self._exchange is None:
-                        self.abort()
-                if self._exchange is not None:
-                    await self._finish_cancelled(self._exchange)
+                await self._serve_until_cancelled()
                 if self._ahead is not None:
                     await self._ahead.has_ended.wait()
                     break
@@ -355,6 +343,26 @@
             for exchange in list(self.exchanges):
                 self._remove_exchange(exchange)
         self.is_idle = self.is_reading_head = False
+        await self._prepare_close()
+
+    async def _serve_until_cancelled(self) -> None:
+        """Serves requests until the connection ends, or one is cancelled or fails."""
+        self.cancel_scope = trio.CancelScope()
+        try:
+            with self.cancel_scope:
+                await self._serve_requests()
+        except Exception as error:
+            if self._ahead is None:
+                raise
+            # The requests behind this one are still to be answered.
+            log_failure(error)
+            if self._exchange is None:
+                self.abort()
+        if self._exchange is not None:
+            await self._finish_cancelled(self._exchange)
+
+    async def _prepare_close(self) -> None:
+        """Sends a refusal that is due, and reads what would reset the connection."""
         if self.is_last_request:
             await self._discard_requests_behind()
         elif self.is_head_timed_out:
