Send no refusal behind a response that breaks off

Cause: while the head of a further request was late, a streamed response broke off; the 408 for the head was then sent, and a caller would take it for the rest of the body. Change: a connection on which a response broke off is closed without refusal. Result: test_nothing_is_sent_behind_a_response_that_breaks_off failed with the head of the 408 in the body and passes.

--- a/src/coltsfootspar/relay/connections.py
+++ b/src/coltsfootspar/relay/connections.py
@@ -559,6 +559,9 @@
         self.is_reading_head = False
         if self._ahead is not None:
             await self._ahead.wait_until_answered()
+            if self.is_broken:
+                # A response broke off: the caller would take the refusal for its rest.
+                return
         self.is_broken = True
         await send_all(self.sock, encode_response(status, _CLOSE_HEADERS, b""))
         await self._discard_input()
--- a/src/coltsfootspar/relay/tests/test_requests_ahead.py
+++ b/src/coltsfootspar/relay/tests/test_requests_ahead.py
@@ -193,6 +193,32 @@
     assert await ahead.read_all() == [(200, b"/1"), (200, b"/2"), (408, b"")]
 
 
+async def test_nothing_is_sent_behind_a_response_that_breaks_off(harness, ahead):
+    """Guards against a refusal that a caller takes for the rest of a body."""
+    pieces = [b"part"]
+
+    async def read():
+        if pieces:
+            return pieces.pop()
+        await ahead.release.wait()
+        raise TransferError("broke off", may_have_run=True, code="reset")
+
+    async def handle(exchange):
+        response = Response(status=200, header_values={b"content-length": b"20"})
+        await exchange.stream_response(response, [], read)
+
+    await ahead.start(harness.nursery, handle)
+    ahead.server.limits = ClientLimits(header_seconds=0.1)
+    await ahead.stream.send_all(encode("/1") + b"GET / HTTP/1.1\r\n")
+    await ahead.wait_started(1)
+    connection = next(iter(ahead.server.exchanges)).connection
+    with trio.fail_after(20):
+        while not connection.is_head_timed_out:  # noqa: ASYNC110
+            await trio.sleep(0.01)
+    ahead.release.set()
+    assert await ahead.read_all() == [(200, b"part")]
+
+
 async def test_connection_that_was_read_ahead_is_closed_when_idle(harness, ahead):
     """Guards against connections that stay for good, or end while a request runs."""
     await ahead.start(harness.nursery, ahead.hold_first)
