--- a/src/coltsfootspar/relay/connections.py
+++ b/src/coltsfootspar/relay/connections.py
@@ -2,6 +2,7 @@
 
 import collections
 import contextlib
+import functools
 import math
 import socket
 from collections.abc import Awaitable, Callable
@@ -332,19 +333,7 @@
         """Serves requests until either side closes the connection."""
         try:
             while not self.is_last_request and not self.is_broken:
-                self.cancel_scope = trio.CancelScope()
-                try:
-                    with self.cancel_scope:
-                        await self._serve_requests()
-                except Exception as error:
-                    if self._ahead is None:
-                        raise
-                    # The requests behind this one are still to be answered.
-                    log_failure(error)
-                    if self._exchange is None:
-                        self.abort()
-                if self._exchange is not None:
-                    await self._finish_cancelled(self._exchange)
+                await self._serve_until_cancelled()
                 if self._ahead is not None:
                     await self._ahead.has_ended.wait()
                     break
@@ -354,10 +343,33 @@
             for exchange in list(self.exchanges):
                 self._remove_exchange(exchange)
         self.is_idle = self.is_reading_head = False
+        await self._prepare_close()
+
+    async def _serve_until_cancelled(self) -> None:
+        """Serves requests until the connection ends, or one is cancelled or fails."""
+        self.cancel_scope = trio.CancelScope()
+        try:
+            with self.cancel_scope:
+                await self._serve_requests()
+        except Exception as error:
+            if self._ahead is None:
+                raise
+            # The requests behind this one are still to be answered.
+            log_failure(error)
+            if self._exchange is None:
+                self.abort()
+        if self._exchange is not None:
+            await self._finish_cancelled(self._exchange)
+
+    async def _prepare_close(self) -> None:
+        """Sends a refusal that is due, and reads what would reset the connection."""
         if self.is_last_request:
             await self._discard_requests_behind()
         elif self.is_head_timed_out:
             await self._reject(408)
+        elif self._ahead is not None and not self.is_broken:
+            # At a stop, the last response may have begun before and announce no close.
+            await self._discard_requests_behind()
 
     def enforce_read_timeouts(self, now: float) -> None:
         """Closes a connection that is idle or receives a head for too long.
@@ -546,6 +558,10 @@
         self.is_reading_head = False
         if self._ahead is not None:
             await self._ahead.wait_until_answered()
+            if self.is_broken:
+                # A response broke off: the caller would take the refusal for its rest.
+                return
+        self.is_broken = True
         await send_all(self.sock, encode_response(status, _CLOSE_HEADERS, b""))
         await self._discard_input()
 
@@ -587,9 +603,16 @@
         return exchange
 
     async def _invite_body(self, exchange: Exchange) -> None:
-        if not exchange.request.is_complete:
-            await exchange.wait_for_turn()
-            await send_all(self.sock, b"HTTP/1.1 100 Continue\r\n\r\n")
+        """Asks for the body of a request, in its turn.
+
+        A request that is cancelled before is refused, since its handler has not begun.
+        """
+        if exchange.request.is_complete:
+            return
+        exchange.on_deadline = functools.partial(exchange.answer, 503, [], b"")
+        await exchange.wait_for_turn()
+        await send_all(self.sock, b"HTTP/1.1 100 Continue\r\n\r\n")
+        exchange.on_deadline = None
 
     async def serve_ahead(self, exchange: Exchange) -> None:
         """Serves a request that was read while others were in progress."""
--- a/src/coltsfootspar/relay/tests/test_requests_ahead.py
+++ b/src/coltsfootspar/relay/tests/test_requests_ahead.py
@@ -160,6 +160,25 @@
     assert await ahead.read_all() == [(200, b"/1"), (200, b"/2"), (400, b"")]
 
 
+@pytest.mark.parametrize("limits", [None, AheadLimits()], ids=["one", "ahead"])
+@pytest.mark.parametrize(
+    "head",
+    [
+        b"CONNECT host:1 HTTP/1.1\r\n\r\n",
+        encode("/2", "Connection: Upgrade\r\nUpgrade: h2c\r\n"),
+        encode("/2", "Connection: Upgrade\r\nUpgrade: h2c\r\n", b"body"),
+    ],
+    ids=["connect", "upgrade", "body"],
+)
+async def test_upgrade_is_refused_and_not_started(harness, ahead, limits, head):
+    """Guards against a request that runs and then gets a second response."""
+    await ahead.start(harness.nursery, ahead.hold_first, limits)
+    ahead.release.set()
+    await ahead.stream.send_all(encode("/1") + head)
+    assert await ahead.read_all() == [(200, b"/1"), (400, b"")]
+    assert ahead.started == ["/1"]
+
+
 async def test_slow_head_is_refused_behind_the_other_answers(harness, ahead):
     """Guards against a refusal that overtakes answers, or closes before them."""
     await ahead.start(harness.nursery, ahead.hold_first)
@@ -174,6 +193,32 @@
     assert await ahead.read_all() == [(200, b"/1"), (200, b"/2"), (408, b"")]
 
 
+async def test_nothing_is_sent_behind_a_response_that_breaks_off(harness, ahead):
+    """Guards against a refusal that a caller takes for the rest of a body."""
+    pieces = [b"part"]
+
+    async def read():
+        if pieces:
+            return pieces.pop()
+        await ahead.release.wait()
+        raise TransferError("broke off", may_have_run=True, code="reset")
+
+    async def handle(exchange):
+        response = Response(status=200, header_values={b"content-length": b"20"})
+        await exchange.stream_response(response, [], read)
+
+    await ahead.start(harness.nursery, handle)
+    ahead.server.limits = ClientLimits(header_seconds=0.1)
+    await ahead.stream.send_all(encode("/1") + b"GET / HTTP/1.1\r\n")
+    await ahead.wait_started(1)
+    connection = next(iter(ahead.server.exchanges)).connection
+    with trio.fail_after(20):
+        while not connection.is_head_timed_out:  # noqa: ASYNC110
+            await trio.sleep(0.01)
+    ahead.release.set()
+    assert await ahead.read_all() == [(200, b"part")]
+
+
 async def test_connection_that_was_read_ahead_is_closed_when_idle(harness, ahead):
     """Guards against connections that stay for good, or end while a request runs."""
     await ahead.start(harness.nursery, ahead.hold_first)
@@ -199,6 +244,46 @@
     assert len(ahead.started) == 2
 
 
+async def test_request_that_crosses_a_stop_leaves_the_response_before_it(
+    harness, ahead
+):
+    """Guards against a reset that discards a response on its way to the caller.
+
+    The response has no ``Connection: close``, since it began before the stop.
+    """
+    body = bytes(32 << 20)
+
+    async def answer(exchange):
+        await exchange.answer(200, [], body)
+
+    await ahead.start(harness.nursery, answer)
+    await ahead.stream.send_all(encode("/1"))
+    await ahead.wait_started(1)
+    ahead.server.is_draining = True
+    await ahead.stream.send_all(encode("/2"))
+    await wait_all_tasks_blocked(0.01)
+    assert await ahead.read_all() == [(200, body)]
+    assert ahead.started == ["/1"]
+
+
+async def test_stop_refuses_a_body_that_is_awaited_behind_another_request(
+    harness, ahead
+):
+    """Guards against a status that does not tell the caller that nothing has run."""
+    await ahead.start(harness.nursery, ahead.hold_first)
+    expecting = encode("/2", "Expect: 100-continue\r\n", b"body")[: -len(b"body")]
+    await ahead.stream.send_all(encode("/1") + expecting)
+    with trio.fail_after(20):
+        while len(ahead.server.exchanges) < 2:  # noqa: ASYNC110
+            await trio.sleep(0.001)
+    await wait_all_tasks_blocked(0.01)
+    ahead.server.is_draining = True
+    ahead.server.cancel_incomplete()
+    ahead.release.set()
+    assert await ahead.read_all() == [(200, b"/1"), (503, b"")]
+    assert ahead.started == ["/1"]
+
+
 async def test_stop_answers_requests_in_their_order(harness, ahead):
     """Guards against requests ahead that get no answer when the time is over."""
 
