Add tests of crowds of large bodies, red on untouched code

Clients that stop short of the end of large bodies raise a node and a replica over the memory of their hosts; thousands of idle connections take all descriptors. Crowds and bounds are fixed before the product changes.

--- /dev/null
+++ b/src/coltsfootspar/node/tests/test_crowds.py
@@ -0,0 +1,95 @@
+"""Crowds of clients that nobody controls, at a node of the product.
+
+They guard against clients that end a process by what it holds for them.
+"""
+
+import fcntl
+import pathlib
+import tempfile
+
+import pytest
+import trio
+
+from coltsfootspar.bench.deployment import HostPlan, create_deployment, wait_for
+from coltsfootspar.testing.crowds import (
+    Crowd,
+    CrowdKind,
+    count_descriptors,
+    read_peak_memory,
+    send_ordinary,
+)
+from coltsfootspar.wire import parse_address
+
+_LOCK = pathlib.Path(tempfile.gettempdir()) / "coltsfootspar-crowds.lock"
+_HOST = HostPlan(
+    "specs-1",
+    "specs",
+    behaviours=({"prefix": "/", "service_ms": 50},),
+    holds_replica=True,
+)
+_ROWS = [{"row": "specs POST /specs/{id}", "column": "importance", "value": 5}]
+# The crowd and the bounds. A process without clients takes about 75 MB.
+MEMORY_MB = 160
+DESCRIPTORS = 300
+CLIENTS = 80
+BODY_BYTES = 2_000_000
+_HEAD = b"POST /specs/1 HTTP/1.1\r\nHost: specs\r\n"
+_ORDINARY = _HEAD + b"Connection: close\r\nContent-Length: 5\r\n\r\nhello"
+
+
+@pytest.fixture(autouse=True)
+def lock_machine():
+    """Lets only one such test run at a time."""
+    with _LOCK.open("w") as file:
+        fcntl.flock(file, fcntl.LOCK_EX)
+        yield
+
+
+@pytest.fixture
+def deployment(tmp_path):
+    limits = {"body_bytes": 4_000_000}
+    with create_deployment(tmp_path, [_HOST], limits=limits) as deployment:
+        deployment.start_all()
+        wait_for(
+            lambda: deployment.edit(_HOST.node_id, _ROWS).status == 200, "a leader"
+        )
+        wait_for(lambda: _is_served(deployment), "the first answer", 20.0)
+        yield deployment
+
+
+def _is_served(deployment) -> bool:
+    address = deployment.inbound[_HOST.node_id]
+    headers = {"Host": "specs"}
+    answer = deployment.request(address, "POST", "/specs/1", headers=headers)
+    return answer.status == 200
+
+
+_CASES = [
+    pytest.param(
+        kind,
+        id=kind.value,
+        marks=[]
+        if kind in (CrowdKind.OVER_ANNOUNCED, CrowdKind.OVER_SENT)
+        else pytest.mark.known_red(f"crowd-own-node-{kind.value}"),
+    )
+    for kind in CrowdKind
+]
+
+
+@pytest.mark.xdist_group("crowds")
+@pytest.mark.parametrize("kind", _CASES)
+async def test_crowd_of_large_bodies_leaves_the_process_alive(deployment, kind):
+    address = parse_address(deployment.inbound[_HOST.node_id])
+    process = deployment.processes[_HOST.node_id]
+    crowd = Crowd(kind, _HEAD, CLIENTS, BODY_BYTES)
+    async with trio.open_nursery() as nursery:
+        await nursery.start(crowd.press, address)
+        answer = await send_ordinary(address, _ORDINARY)
+        assert process.poll() is None, "the process has ended"
+        peak_mb = read_peak_memory(process.pid) / 1e6
+        descriptors = count_descriptors(process.pid)
+        assert (peak_mb <= MEMORY_MB, descriptors <= DESCRIPTORS) == (True, True), (
+            f"{peak_mb:.1f} MB, {descriptors} descriptors"
+        )
+        assert b" 200 " in answer[:20], answer[:200]
+        nursery.cancel_scope.cancel()
