Bound what a process holds for its connections by one account

A node and a replica held every body that callers had begun, so that a crowd of uploads that stop short took them over the memory of their host. One account for all connections of a process now evicts holdings above its budget: those whose callers make no progress first, the largest of them, then the youngest; a body that has hardly begun waits while there is little room. An evicted request that no server has seen is refused with 503. Accepted connections stay below half of the descriptors, and long bodies are sent without a copy for each attempt.

--- a/src/coltsfootspar/fleet/metrics.py
+++ b/src/coltsfootspar/fleet/metrics.py
@@ -6,7 +6,9 @@
 from aioprometheus import Histogram, Registry, render
 from aioprometheus.collectors import Counter, Gauge
 
-__all__ = ["FleetMetrics", "create_fleet_metrics"]
+from coltsfootspar.memory import ConnectionCount, MemoryAccount
+
+__all__ = ["FleetMetrics", "add_memory_metrics", "create_fleet_metrics"]
 
 _PREFIX = "coltsfootspar_"
 _BUCKET_BOUNDS_SECONDS = (0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0)
@@ -66,3 +68,29 @@
         registry=registry,
     )
     return FleetMetrics(registry, request_seconds)
+
+
+def add_memory_metrics(
+    metrics: FleetMetrics, account: MemoryAccount, count: ConnectionCount
+) -> None:
+    """Adds what the process holds for its connections, and who gave way."""
+    metrics.add_gauges(
+        ("held_bytes", "Held for connections.", lambda: account.held_bytes),
+    )
+    metrics.add_counters(
+        (
+            "evictions",
+            "Requests refused and connections closed for lack of memory.",
+            lambda: account.evictions,
+        ),
+        (
+            "connections_refused",
+            "Connections closed at once for lack of descriptors.",
+            lambda: count.refused,
+        ),
+        (
+            "idle_connections_closed",
+            "Idle connections closed for lack of descriptors.",
+            lambda: count.closed_idle,
+        ),
+    )
--- a/src/coltsfootspar/fleet/node.py
+++ b/src/coltsfootspar/fleet/node.py
@@ -24,7 +24,11 @@
     create_departure_recorder,
 )
 from coltsfootspar.fleet.interfaces import ProtocolAdapter
-from coltsfootspar.fleet.metrics import FleetMetrics, create_fleet_metrics
+from coltsfootspar.fleet.metrics import (
+    FleetMetrics,
+    add_memory_metrics,
+    create_fleet_metrics,
+)
 from coltsfootspar.fleet.reloading import SettingsFile
 from coltsfootspar.fleet.routecopy import RouteCopy, create_route_copy
 from coltsfootspar.fleet.seats import (
@@ -35,6 +39,7 @@
 )
 from coltsfootspar.logs import log_decision
 from coltsfootspar.membership import Membership, open_udp_port
+from coltsfootspar.memory import ConnectionCount, create_memory_account
 from coltsfootspar.relay import (
     BackendServer,
     CallReceiver,
@@ -358,6 +363,8 @@
     control = create_control_handler(
         adapter, NodeControl(backend, settings.service, departures).serve
     )
+    account = create_memory_account(settings.limits)
+    count = ConnectionCount(settings.limits.descriptors)
     node = FleetNode(
         settings_file=settings_file,
         names=adapter.names,
@@ -368,16 +375,26 @@
         routes=routes,
         backend=backend,
         forwarder=forwarder,
-        outbound=create_relay_server(forwarder.handle),
-        inbound=create_relay_server(create_peer_handler(receiver.handle, notifier)),
+        outbound=create_relay_server(forwarder.handle, account, count),
+        inbound=create_relay_server(
+            create_peer_handler(receiver.handle, notifier),
+            account,
+            count,
+            is_for_peers=True,
+        ),
         receiver=receiver,
         notifier=notifier,
         departures=departures,
-        control=create_relay_server(control.handle),
-        ready=create_relay_server(lambda exchange: node.handle_readiness(exchange)),
-        metrics=create_relay_server(create_metrics_handler(fleet_metrics.render)),
+        control=create_relay_server(control.handle, account, count),
+        ready=create_relay_server(
+            lambda exchange: node.handle_readiness(exchange), account, count
+        ),
+        metrics=create_relay_server(
+            create_metrics_handler(fleet_metrics.render), account, count
+        ),
     )
     _add_metrics(fleet_metrics, node)
+    add_memory_metrics(fleet_metrics, account, count)
     settings_file.on_change = node.apply_settings
     return node
 
--- a/src/coltsfootspar/fleet/replica.py
+++ b/src/coltsfootspar/fleet/replica.py
@@ -22,7 +22,7 @@
 )
 from coltsfootspar.fleet.control import ReplicaControl, create_control_handler
 from coltsfootspar.fleet.interfaces import ProtocolAdapter
-from coltsfootspar.fleet.metrics import create_fleet_metrics
+from coltsfootspar.fleet.metrics import add_memory_metrics, create_fleet_metrics
 from coltsfootspar.fleet.offers import SeatOffers, load_seats, save_seats
 from coltsfootspar.fleet.peers import send_single_request
 from coltsfootspar.fleet.reloading import SettingsFile
@@ -33,6 +33,7 @@
     find_seat_holder,
 )
 from coltsfootspar.membership import Membership, open_udp_port
+from coltsfootspar.memory import ConnectionCount, create_memory_account
 from coltsfootspar.relay import RelayServer, create_relay_server
 from coltsfootspar.replication import (
     Disk,
@@ -125,7 +126,9 @@
         :returns: exit code.
         """
         settings = self.settings
-        self._control = create_relay_server(self._reject_control)
+        account = create_memory_account(settings.limits)
+        count = ConnectionCount(settings.limits.descriptors)
+        self._control = create_relay_server(self._reject_control, account, count)
         fleet_metrics = create_fleet_metrics()
         fleet_metrics.add_gauges(
             ("replica_term", "Term.", lambda: self._read_core("term")),
@@ -135,7 +138,10 @@
                 lambda: self._read_core("commit_index"),
             ),
         )
-        metrics = create_relay_server(create_metrics_handler(fleet_metrics.render))
+        add_memory_metrics(fleet_metrics, account, count)
+        metrics = create_relay_server(
+            create_metrics_handler(fleet_metrics.render), account, count
+        )
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.timers.run)
             nursery.start_soon(self.membership.run)
--- /dev/null
+++ b/src/coltsfootspar/memory/__init__.py
@@ -0,0 +1,18 @@
+"""Account of the memory that a process holds for its connections."""
+
+from coltsfootspar.memory.account import (
+    Holding,
+    MemoryAccount,
+    MemoryLimits,
+    create_memory_account,
+)
+from coltsfootspar.memory.openings import ConnectionCount, Openable
+
+__all__ = [
+    "ConnectionCount",
+    "Holding",
+    "MemoryAccount",
+    "MemoryLimits",
+    "Openable",
+    "create_memory_account",
+]
--- /dev/null
+++ b/src/coltsfootspar/memory/openings.py
@@ -0,0 +1,81 @@
+"""Count of the accepted connections of a process, kept below its descriptors."""
+
+from typing import Protocol
+
+import attrs
+
+__all__ = ["ConnectionCount", "Openable"]
+
+# Shares of the descriptors: for accepted connections, and for those of peers besides.
+# The rest is for connections to peers and backend servers and for files.
+_ACCEPTED_SHARE = 0.5
+_PEER_SHARE = 0.2
+# Share of the idle connections that are closed at once, so that a crowd of new ones
+# does not search for an idle one each time.
+_CLOSED_SHARE = 0.05
+
+
+class Openable(Protocol):
+    """An accepted connection.
+
+    :param is_idle: true while no byte of a request has been received.
+    :param waiting_since: start of the idle time, trio clock, seconds.
+    """
+
+    is_idle: bool
+    waiting_since: float
+
+    def close_idle(self) -> bool:
+        """Closes the connection unless a request has started.
+
+        :returns: true when it is being closed.
+        """
+
+
+@attrs.define(eq=False)
+class ConnectionCount:
+    """Accepted connections of all servers of a process.
+
+    :param descriptors: most open descriptors of the process.
+    :param refused: connections closed at once for lack of room.
+    :param closed_idle: idle connections closed to make room.
+    """
+
+    descriptors: int
+    refused: int = 0
+    closed_idle: int = 0
+    _connections: set[Openable] = attrs.field(factory=set)
+
+    def has_room(self, *, is_peer: bool) -> bool:
+        """Tells whether a connection may stay open; closes idle ones in its favour.
+
+        :param is_peer: true for a connection of another process of the deployment.
+        """
+        share = _ACCEPTED_SHARE + (_PEER_SHARE if is_peer else 0.0)
+        if len(self._connections) < int(self.descriptors * share):
+            return True
+        if self._close_longest_idle():
+            return True
+        self.refused += 1
+        return False
+
+    def add(self, connection: Openable) -> None:
+        """Adds an accepted connection."""
+        self._connections.add(connection)
+
+    def discard(self, connection: Openable) -> None:
+        """Removes a connection that has ended."""
+        self._connections.discard(connection)
+
+    def _close_longest_idle(self) -> int:
+        """Closes some idle connections and returns their number."""
+        idle = [connection for connection in self._connections if connection.is_idle]
+        idle.sort(key=lambda connection: connection.waiting_since)
+        wanted = 1 + int(len(idle) * _CLOSED_SHARE)
+        closed = 0
+        for connection in idle:
+            if closed == wanted:
+                break
+            closed += connection.close_idle()
+        self.closed_idle += closed
+        return closed
--- a/src/coltsfootspar/relay/client.py
+++ b/src/coltsfootspar/relay/client.py
@@ -37,7 +37,7 @@
 _IDLE_TIMEOUT_FRACTION = 0.6
 # A request up to this size fits into the send buffer of a new connection, so that it
 # can be sent completely before the response is read.
-_INLINE_REQUEST_BYTES = 16_384
+INLINE_REQUEST_BYTES = 16_384
 _FIRST_FINAL_STATUS = 200
 MAX_RESPONSE_HEAD_BYTES = 65_536
 MAX_INTERIM_RESPONSES = 16
@@ -61,7 +61,8 @@
 class OutgoingRequest:
     """An encoded request.
 
-    :param data: the head, with the body unless it is streamed.
+    :param data: the head, with a body that is short.
+    :param body: a longer body, sent after the head without a copy.
     :param request_id: id that a response with an id header must echo.
     :param id_header: lower-case name of the id header.
     :param is_head: true for a HEAD request, whose response has no body.
@@ -73,6 +74,13 @@
     id_header: bytes = b""
     is_head: bool = False
     stream: StreamedBody | None = None
+    body: bytes = b""
+
+    @property
+    def is_short(self) -> bool:
+        """True when it can be sent completely before the response is read."""
+        is_whole = self.stream is None and not self.body
+        return is_whole and len(self.data) <= INLINE_REQUEST_BYTES
 
 
 @attrs.define(eq=False)
@@ -126,7 +134,7 @@
             invalid.
         """
         self.has_response_started = False
-        if request.stream is None and len(request.data) <= _INLINE_REQUEST_BYTES:
+        if request.is_short:
             await send_all(self.sock, request.data)
             await wait_readable(self.sock)
             return await self._read_response(request, buffer_bytes)
@@ -159,6 +167,7 @@
         stream = request.stream
         try:
             await send_all(self.sock, request.data)
+            await send_all(self.sock, request.body)
             while stream is not None:
                 stream.is_started = True
                 data = await stream.read()
--- a/src/coltsfootspar/relay/connections.py
+++ b/src/coltsfootspar/relay/connections.py
@@ -14,6 +14,8 @@
     TooLargeError,
     TransferError,
 )
+from coltsfootspar.logs import log_decision
+from coltsfootspar.memory import Holding, MemoryAccount
 from coltsfootspar.relay.messages import (
     LAST_CHUNK,
     Headers,
@@ -30,6 +32,10 @@
 
 _DISCARD_TIMEOUT_SECONDS = 2.0
 _MAX_DISCARDED_BYTES = 64 << 20
+# Most bytes that are sent before the progress of the caller is noted.
+_SEND_PIECE_BYTES = 32_768
+# Memory of a header beside its bytes: objects, and entries of the two collections.
+_HEADER_BYTES = 320
 _CLOSE_HEADERS: Headers = [(b"Connection", b"close")]
 
 
@@ -38,10 +44,12 @@
 
     :param exchanges: requests in progress.
     :param is_draining: true when connections close after the next response.
+    :param account: memory held for the connections of the process.
     """
 
     handler: "Handler"
     limits: ClientLimits
+    account: MemoryAccount
     exchanges: set["Exchange"]
     is_draining: bool
 
@@ -61,6 +69,7 @@
     :param deadline: trio clock, seconds.
     :param on_deadline: sends the response when the deadline ends the handler.
     :param sent_to: ids of the nodes and backend servers that the request was sent to.
+    :param cancel_reason: error code of a refusal after :meth:`cancel`.
     """
 
     request: Request
@@ -71,6 +80,7 @@
     deadline: float = math.inf
     on_deadline: Callable[[], Awaitable[None]] | None = None
     sent_to: set[str] = attrs.field(factory=set)
+    cancel_reason: str = "stopping"
 
     @property
     def caller_host(self) -> str:
@@ -84,11 +94,20 @@
         :raises TransferError: when the caller disconnects.
         :raises TooLargeError: when the body exceeds the limit for clients.
         """
-        request = self.request
+        request, connection = self.request, self._connection
+        if not request.is_complete:
+            connection.holding.charge(request.received_bytes + estimate_head(request))
         while not request.is_complete and request.received_bytes <= limit:
             if request.received_bytes:
                 await trio.lowlevel.checkpoint()
-            await self._connection.read_more(request)
+            await connection.holding.wait_for_room()
+            known_bytes = request.received_bytes
+            await connection.read_more(request)
+            connection.holding.charge(request.received_bytes - known_bytes)
+        if self.is_cancelled:
+            # The body was dropped to free memory; it must not go on in part.
+            await trio.lowlevel.checkpoint()
+        connection.holding.is_settled = request.is_complete
 
     async def read_body(self) -> bytes:
         """Reads the next piece of the body; empty at its end.
@@ -96,11 +115,15 @@
         :raises TransferError: when the caller disconnects.
         :raises TooLargeError: when the body exceeds the limit for clients.
         """
-        request = self.request
+        request, holding = self.request, self._connection.holding
         await trio.lowlevel.checkpoint()
+        # The previous piece has been sent.
+        holding.release()
         while not request.body_parts and not request.is_complete:
             await self._connection.read_more(request)
-        return request.take_body()
+        body = request.take_body()
+        holding.charge(len(body))
+        return body
 
     async def answer(
         self, status: int, headers: Headers, body: bytes, reason: bytes = b""
@@ -115,7 +138,7 @@
         data = encode_response(status, headers, body, reason)
         connection = self._connection
         was_broken, connection.is_broken = connection.is_broken, True
-        await send_all(connection.sock, data)
+        await connection.send(data)
         connection.is_broken = was_broken
 
     async def stream_response(
@@ -143,7 +166,7 @@
         head = encode_response(response.status, headers, None, response.reason)
         await send_all(connection.sock, head)
         while data := await read():
-            await send_all(connection.sock, data if length else encode_chunk(data))
+            await connection.send(data if length else encode_chunk(data))
         if length is None:
             await send_all(connection.sock, LAST_CHUNK)
         connection.is_broken = False
@@ -201,6 +224,11 @@
 Handler = Callable[[Exchange], Awaitable[None]]
 
 
+def estimate_head(request: Request) -> int:
+    """Returns about the memory that the head of a request takes, bytes."""
+    return len(request.headers) * _HEADER_BYTES
+
+
 @attrs.define(eq=False)
 class Connection:
     """An accepted connection.
@@ -225,8 +253,12 @@
     is_reading_head: bool = False
     is_head_timed_out: bool = False
     cancel_scope: trio.CancelScope = attrs.field(factory=trio.CancelScope)
+    holding: Holding = attrs.field(init=False)
     _exchange: Exchange | None = None
 
+    def __attrs_post_init__(self) -> None:
+        self.holding = self.server.account.open(self._evict)
+
     async def run(self) -> None:
         """Serves requests until either side closes the connection."""
         try:
@@ -239,6 +271,7 @@
         finally:
             if self._exchange is not None:
                 self._remove_exchange(self._exchange)
+            self.holding.release()
         if self.is_head_timed_out:
             await self._reject(408)
 
@@ -255,10 +288,15 @@
             self.is_head_timed_out = True
             self._end()
 
-    def close_idle(self) -> None:
-        """Closes the connection unless a request has started or is waiting unread."""
-        if self.is_idle and peek(self.sock) is None:
-            self._end()
+    def close_idle(self) -> bool:
+        """Closes the connection unless a request has started or is waiting unread.
+
+        :returns: true when it is being closed.
+        """
+        if self.is_broken or not self.is_idle or peek(self.sock) is not None:
+            return False
+        self._end()
+        return True
 
     @property
     def has_unread_input(self) -> bool:
@@ -269,6 +307,36 @@
         self.is_broken = True
         self.cancel_scope.cancel()
 
+    def _evict(self) -> None:
+        """Drops what is held, and refuses the request or closes the connection."""
+        exchange = self._exchange
+        if exchange is None:
+            self._end()
+            return
+        log_decision("evicted", caller=self.caller_host)
+        exchange.request.body_parts.clear()
+        exchange.cancel_reason = "no-memory"
+        exchange.cancel()
+
+    async def send(self, data: bytes) -> None:
+        """Sends a part of a response; a large one is held until it has been sent.
+
+        :raises TransferError: when the caller has disconnected.
+        """
+        if len(data) <= _SEND_PIECE_BYTES:
+            await send_all(self.sock, data)
+            return
+        holding = self.holding
+        holding.is_settled = False
+        holding.restart(trio.current_time())
+        holding.charge(len(data))
+        rest = memoryview(data)
+        while rest:
+            await send_all(self.sock, rest[:_SEND_PIECE_BYTES])
+            holding.record_progress(_SEND_PIECE_BYTES, trio.current_time())
+            rest = rest[_SEND_PIECE_BYTES:]
+        holding.discharge(len(data))
+
     async def read_more(self, request: Request) -> None:
         """Reads more of the body of a request.
 
@@ -324,6 +392,9 @@
         self.reader.feed(data)
         if self.reader.head_bytes > self.server.limits.header_bytes:
             raise TooLargeError("the request head exceeds the limit")
+        if self.reader.head_bytes:
+            self.holding.release()
+            self.holding.charge(estimate_head(self.reader.messages[-1]))
         return True
 
     async def _reject(self, status: int) -> None:
@@ -367,6 +438,7 @@
 
     def _remove_exchange(self, exchange: Exchange) -> None:
         self._exchange = None
+        self.holding.release()
         self.server.exchanges.discard(exchange)
         # It refers to the exchange, which would stay as cyclic garbage.
         exchange.on_deadline = None
--- a/src/coltsfootspar/relay/forwarding.py
+++ b/src/coltsfootspar/relay/forwarding.py
@@ -184,7 +184,9 @@
         if not await self._pass_gates(exchange, route, call, organisation):
             return
         if not request.is_complete:
-            exchange.set_deadline(math.inf, lambda: self._refuse(exchange, "stopping"))
+            exchange.set_deadline(
+                math.inf, lambda: self._refuse(exchange, exchange.cancel_reason)
+            )
         try:
             outgoing = await create_outgoing_call(exchange, call, self._names)
         except TooLargeError:
--- a/src/coltsfootspar/relay/outgoing.py
+++ b/src/coltsfootspar/relay/outgoing.py
@@ -6,7 +6,11 @@
     OutgoingCall,
     compute_request_digest,
 )
-from coltsfootspar.relay.client import OutgoingRequest, StreamedBody
+from coltsfootspar.relay.client import (
+    INLINE_REQUEST_BYTES,
+    OutgoingRequest,
+    StreamedBody,
+)
 from coltsfootspar.relay.connections import Exchange
 from coltsfootspar.relay.messages import Headers, encode_request, filter_headers
 
@@ -57,18 +61,24 @@
 ) -> OutgoingRequest:
     """Encodes a call with its body, or with the framing of a streamed body.
 
+    A longer body is not copied: each attempt would hold one more of it.
+
     :param extra_headers: headers to add for the next hop.
     """
     headers = [*outgoing.headers, *extra_headers]
-    stream = outgoing.stream
+    stream, body, long_body = outgoing.stream, outgoing.body, b""
+    if body is not None and len(body) > INLINE_REQUEST_BYTES:
+        headers.append((b"Content-Length", b"%d" % len(body)))
+        body, long_body = None, body
     if stream is not None and stream.length is None:
         headers.append((b"Transfer-Encoding", b"chunked"))
     elif stream is not None:
         headers.append((b"Content-Length", b"%d" % stream.length))
     return OutgoingRequest(
-        encode_request(outgoing.method, outgoing.target, headers, outgoing.body),
+        encode_request(outgoing.method, outgoing.target, headers, body),
         outgoing.request_id,
         names.request_id.lower(),
         outgoing.method == b"HEAD",
         stream,
+        long_body,
     )
--- a/src/coltsfootspar/relay/server.py
+++ b/src/coltsfootspar/relay/server.py
@@ -11,6 +11,12 @@
     TooLargeError,
     TransferError,
 )
+from coltsfootspar.memory import (
+    ConnectionCount,
+    MemoryAccount,
+    MemoryLimits,
+    create_memory_account,
+)
 from coltsfootspar.relay.connections import Connection, Exchange, Handler
 from coltsfootspar.relay.sockets import accept, find_readable, listen
 from coltsfootspar.routes import ClientLimits
@@ -37,12 +43,20 @@
     :param exchanges: requests in progress.
     :param is_draining: true when connections close after the next response; new ones
         are still accepted.
+    :param account: memory held for the connections of the process.
+    :param count: accepted connections of the process.
+    :param is_for_peers: true when other nodes connect here.
     """
 
     handler: Handler
     limits: ClientLimits = attrs.field(factory=ClientLimits)
     exchanges: set[Exchange] = attrs.field(factory=set)
     is_draining: bool = False
+    account: MemoryAccount = attrs.field(factory=create_memory_account)
+    count: ConnectionCount = attrs.field(
+        factory=lambda: ConnectionCount(MemoryLimits().descriptors)
+    )
+    is_for_peers: bool = False
     _connections: set[Connection] = attrs.field(factory=set)
     _has_work: trio.Event = attrs.field(factory=trio.Event)
 
@@ -68,7 +82,10 @@
                         logging.warning("Connection not accepted: %s", error)
                         await trio.sleep(CHECK_INTERVAL_SECONDS)
                         continue
-                    nursery.start_soon(self._run_connection, sock, host)
+                    if self.count.has_room(is_peer=self.is_for_peers):
+                        nursery.start_soon(self._run_connection, sock, host)
+                    else:
+                        sock.close()
 
     async def drain(self) -> None:
         """Closes idle connections and waits for the requests in progress.
@@ -112,6 +129,7 @@
     async def _run_connection(self, sock: socket.socket, host: str) -> None:
         connection = Connection(self, sock, host)
         self._connections.add(connection)
+        self.count.add(connection)
         try:
             await connection.run()
         except (TransferError, MalformedRequestError, TooLargeError) as error:
@@ -121,6 +139,7 @@
             logging.exception("Request failed")
         finally:
             self._connections.discard(connection)
+            self.count.discard(connection)
             sock.close()
 
     def add_exchange(self, exchange: Exchange) -> None:
@@ -163,9 +182,23 @@
             by_descriptor[descriptor].cancel_if_disconnected()
 
 
-def create_relay_server(handler: Handler) -> RelayServer:
+def create_relay_server(
+    handler: Handler,
+    account: MemoryAccount | None = None,
+    count: ConnectionCount | None = None,
+    *,
+    is_for_peers: bool = False,
+) -> RelayServer:
     """Creates a server.
 
     :param handler: sends the response to each request.
+    :param account: memory held for the connections of the process.
+    :param count: accepted connections of the process.
+    :param is_for_peers: true when other nodes connect here.
     """
-    return RelayServer(handler)
+    return RelayServer(
+        handler,
+        account=account or create_memory_account(),
+        count=count or ConnectionCount(MemoryLimits().descriptors),
+        is_for_peers=is_for_peers,
+    )
--- a/src/coltsfootspar/settings/fleet.py
+++ b/src/coltsfootspar/settings/fleet.py
@@ -4,6 +4,7 @@
 import cattrs
 
 from coltsfootspar.exceptions import SettingsError
+from coltsfootspar.memory import MemoryLimits
 from coltsfootspar.settings.loading import read_settings_file, structure_address
 from coltsfootspar.settings.model import LOG_LEVELS, require_choice, require_key
 from coltsfootspar.wire import Address
@@ -51,6 +52,7 @@
     :param shared_key: secret of the deployment, hexadecimal digits.
     :param peer_port: TCP port of the internal protocol, equal on all hosts.
     :param gossip_port: UDP port of the membership, equal on all hosts.
+    :param limits: memory and descriptors of the process.
     """
 
     id: str
@@ -66,6 +68,7 @@
     host_losses: int = attrs.field(default=1, validator=attrs.validators.ge(0))
     log_level: str = attrs.field(default="info", validator=require_choice(*LOG_LEVELS))
     bounds: FleetBounds = attrs.field(factory=FleetBounds)
+    limits: MemoryLimits = attrs.field(factory=MemoryLimits)
 
 
 @attrs.frozen(kw_only=True)
