--- a/src/coltsfootspar/fleet/node.py
+++ b/src/coltsfootspar/fleet/node.py
@@ -26,7 +26,11 @@
     create_departure_recorder,
 )
 from coltsfootspar.fleet.interfaces import ProtocolAdapter
-from coltsfootspar.fleet.metrics import FleetMetrics, create_fleet_metrics
+from coltsfootspar.fleet.metrics import (
+    FleetMetrics,
+    add_memory_metrics,
+    create_fleet_metrics,
+)
 from coltsfootspar.fleet.reloading import SettingsFile
 from coltsfootspar.fleet.routecopy import RouteCopy, create_route_copy
 from coltsfootspar.fleet.seats import (
@@ -36,6 +40,7 @@
 )
 from coltsfootspar.logs import log_decision
 from coltsfootspar.membership import Membership, open_udp_port
+from coltsfootspar.memory import ConnectionCount, create_memory_account
 from coltsfootspar.relay import (
     AheadLimits,
     BackendServer,
@@ -385,6 +390,8 @@
     control = create_control_handler(
         adapter, NodeControl(backend, settings.service, departures).serve
     )
+    account = create_memory_account(settings.limits)
+    count = ConnectionCount(settings.limits.descriptors)
     node = FleetNode(
         settings_file=settings_file,
         names=adapter.names,
@@ -399,16 +406,30 @@
         outbound=create_relay_server(
             forwarder.handle,
             _create_ahead_limits(settings),
+            account=account,
+            count=count,
+        ),
+        inbound=create_relay_server(
+            create_peer_handler(receiver.handle, notifier),
+            account=account,
+            count=count,
+            is_for_peers=True,
         ),
-        inbound=create_relay_server(create_peer_handler(receiver.handle, notifier)),
         receiver=receiver,
         notifier=notifier,
         departures=departures,
-        control=create_relay_server(control.handle),
-        ready=create_relay_server(lambda exchange: node.handle_readiness(exchange)),
-        metrics=create_relay_server(create_metrics_handler(fleet_metrics.render)),
+        control=create_relay_server(control.handle, account=account, count=count),
+        ready=create_relay_server(
+            lambda exchange: node.handle_readiness(exchange),
+            account=account,
+            count=count,
+        ),
+        metrics=create_relay_server(
+            create_metrics_handler(fleet_metrics.render), account=account, count=count
+        ),
     )
     _add_metrics(fleet_metrics, node)
+    add_memory_metrics(fleet_metrics, account, count)
     settings_file.on_change = node.apply_settings
     routes.on_change = node.apply_routes
     return node
--- a/src/coltsfootspar/relay/messages.py
+++ b/src/coltsfootspar/relay/messages.py
@@ -232,6 +232,17 @@
         """True when a request, a part of one or a fault has been received."""
         return bool(self.messages or self.unparsed) or self.error is not None
 
+    @property
+    def unparsed_bytes(self) -> int:
+        """Size of the input that is held for what has not been parsed."""
+        unparsed = self.unparsed
+        return len(unparsed.obj if isinstance(unparsed, memoryview) else unparsed)
+
+    def drop_input(self) -> None:
+        """Drops what has been received and not been taken; ends the parsing."""
+        self.messages.clear()
+        self.unparsed = b""
+
     def add_input(self, data: bytes) -> None:
         """Parses input until enough requests wait to be taken, and keeps the rest.
 
@@ -263,7 +274,8 @@
             rest = rest[size:]
             if len(self.messages) >= MAX_PARSED_REQUESTS:
                 break
-        self.unparsed = rest
+        # An empty view would keep the input that it refers to.
+        self.unparsed = rest or b""
 
     def _choose_slice(self) -> int:
         current = self._current
--- a/src/coltsfootspar/relay/server.py
+++ b/src/coltsfootspar/relay/server.py
@@ -8,6 +8,12 @@
 import trio
 from absl import logging
 
+from coltsfootspar.memory import (
+    ConnectionCount,
+    MemoryAccount,
+    MemoryLimits,
+    create_memory_account,
+)
 from coltsfootspar.relay.ahead import AheadLimits, ReadAhead
 from coltsfootspar.relay.connections import (
     Connection,
@@ -45,6 +51,9 @@
         are answered; None serves the requests of a connection one after the other.
     :param watcher: notices such requests.
     :param connections_ahead: connections on which a request was sent ahead.
+    :param account: memory held for the connections of the process.
+    :param count: accepted connections of the process.
+    :param is_for_peers: true when other nodes connect here.
     """
 
     handler: Handler
@@ -55,6 +64,11 @@
     watcher: InputWatcher | None = None
     connections_ahead: int = 0
     _nursery: trio.Nursery | None = None
+    account: MemoryAccount = attrs.field(factory=create_memory_account)
+    count: ConnectionCount = attrs.field(
+        factory=lambda: ConnectionCount(MemoryLimits().descriptors)
+    )
+    is_for_peers: bool = False
     _connections: set[Connection] = attrs.field(factory=set)
     _has_work: trio.Event = attrs.field(factory=trio.Event)
 
@@ -83,7 +97,10 @@
                         logging.warning("Connection not accepted: %s", error)
                         await trio.sleep(CHECK_INTERVAL_SECONDS)
                         continue
-                    nursery.start_soon(self._run_connection, sock, host)
+                    if self.count.has_room(is_peer=self.is_for_peers):
+                        nursery.start_soon(self._run_connection, sock, host)
+                    else:
+                        sock.close()
 
     @contextlib.contextmanager
     def _open_watcher(self) -> Iterator[None]:
@@ -140,6 +157,7 @@
     async def _run_connection(self, sock: socket.socket, host: str) -> None:
         connection = Connection(self, sock, host)
         self._connections.add(connection)
+        self.count.add(connection)
         if self.watcher is not None:
             self.watcher.add(sock.fileno(), connection.notice_input)
         try:
@@ -151,6 +169,7 @@
             self._connections.discard(connection)
             if self.watcher is not None:
                 self.watcher.remove(sock.fileno())
+            self.count.discard(connection)
             sock.close()
 
     def add_exchange(self, exchange: Exchange) -> None:
@@ -195,12 +214,26 @@
 
 
 def create_relay_server(
-    handler: Handler, ahead_limits: AheadLimits | None = None
+    handler: Handler,
+    ahead_limits: AheadLimits | None = None,
+    *,
+    account: MemoryAccount | None = None,
+    count: ConnectionCount | None = None,
+    is_for_peers: bool = False,
 ) -> RelayServer:
     """Creates a server.
 
     :param handler: sends the response to each request.
     :param ahead_limits: bounds on requests that a caller sends before the earlier ones
         are answered; None serves the requests of a connection one after the other.
+    :param account: memory held for the connections of the process.
+    :param count: accepted connections of the process.
+    :param is_for_peers: true when other nodes connect here.
     """
-    return RelayServer(handler, ahead_limits)
+    return RelayServer(
+        handler,
+        ahead_limits,
+        account=account or create_memory_account(),
+        count=count or ConnectionCount(MemoryLimits().descriptors),
+        is_for_peers=is_for_peers,
+    )
