Bound the bodies that the product's own node holds

Its HTTP server kept each body that clients had begun, up to limits.body_bytes each. Both listeners now share one account, bounded by limits.memory_mb; a body that has to give way is refused with 503 and no-memory.

--- a/src/coltsfootspar/exceptions.py
+++ b/src/coltsfootspar/exceptions.py
@@ -37,6 +37,7 @@
     "WebError",
     "MalformedRequestError",
     "TooLargeError",
+    "OutOfMemoryError",
     "TransferError",
     "BenchError",
 ]
@@ -319,6 +320,12 @@
     code = "too-large"
 
 
+class OutOfMemoryError(WebError):
+    """Body is dropped because the process holds too much already."""
+
+    code = "no-memory"
+
+
 class TransferError(OutcomeError, WebError):
     """An HTTP server gave no whole response.
 
--- a/src/coltsfootspar/memory/account.py
+++ b/src/coltsfootspar/memory/account.py
@@ -80,6 +80,10 @@
         if self.held_bytes:
             self._account.release(self)
 
+    def close(self) -> None:
+        """Releases everything at the end of the connection."""
+        self.release()
+
     async def wait_for_room(self) -> None:
         """Waits while the process holds much; evicts itself if that lasts."""
         if self._account.is_crowded and self.held_bytes < _BEGUN_BYTES:
@@ -140,7 +144,8 @@
         holding.held_bytes += size
         self.held_bytes += size
         holding.record_progress(size, now)
-        while self.held_bytes > self.budget_bytes:
+        # A request that is alone is served, however large it may be.
+        while self.held_bytes > self.budget_bytes and len(self._holdings) > 1:
             victim = self._find_stalled(now) or self._find_youngest()
             if victim is None:
                 return
--- a/src/coltsfootspar/node/assembly.py
+++ b/src/coltsfootspar/node/assembly.py
@@ -18,6 +18,7 @@
     create_membership,
     open_udp_port,
 )
+from coltsfootspar.memory import MemoryAccount, MemoryLimits, create_memory_account
 from coltsfootspar.node.admission import (
     AnnouncedAdmission,
     create_announced_admission,
@@ -167,6 +168,7 @@
         copy = create_table_copy()
         admission = create_announced_admission()
         web_limits = _create_web_limits(settings)
+        account = create_memory_account(MemoryLimits(settings.limits.memory_mb))
         backend = create_backend(
             _create_http_client(settings, web_limits),
             _Announcer(admission, membership, holder, links).take,
@@ -187,7 +189,7 @@
         gateway = create_gateway(pipeline, copy, backend, metrics)
 
         def create_server(handler) -> HttpServer:
-            return _create_http_server(settings, handler, web_limits, metrics)
+            return _create_http_server(settings, handler, web_limits, metrics, account)
 
         return NodeParts(
             settings=settings,
@@ -345,7 +347,11 @@
 
 
 def _create_http_server(
-    settings: NodeSettings, handler, limits: WebLimits, metrics: NodeMetrics
+    settings: NodeSettings,
+    handler,
+    limits: WebLimits,
+    metrics: NodeMetrics,
+    account: MemoryAccount,
 ) -> HttpServer:
     if settings.http.server == "hypercorn":
         from coltsfootspar.web.hypercorn import (  # noqa: PLC0415
@@ -354,5 +360,8 @@
 
         return create_hypercorn_server(handler, limits)
     return create_h11_server(
-        handler, limits, lambda code: metrics.http_errors.inc({"code": code})
+        handler,
+        limits,
+        lambda code: metrics.http_errors.inc({"code": code}),
+        account,
     )
--- a/src/coltsfootspar/node/tests/test_crowds.py
+++ b/src/coltsfootspar/node/tests/test_crowds.py
@@ -47,7 +47,7 @@
 
 @pytest.fixture
 def deployment(tmp_path):
-    limits = {"body_bytes": 4_000_000}
+    limits = {"body_bytes": 4_000_000, "memory_mb": MEMORY_MB}
     with create_deployment(tmp_path, [_HOST], limits=limits) as deployment:
         deployment.start_all()
         wait_for(
@@ -64,20 +64,8 @@
     return answer.status == 200
 
 
-_CASES = [
-    pytest.param(
-        kind,
-        id=kind.value,
-        marks=[]
-        if kind in (CrowdKind.OVER_ANNOUNCED, CrowdKind.SHORT_TINY_CHUNKS)
-        else pytest.mark.known_red(f"crowd-own-node-{kind.value}"),
-    )
-    for kind in CrowdKind
-]
-
-
 @pytest.mark.xdist_group("crowds")
-@pytest.mark.parametrize("kind", _CASES)
+@pytest.mark.parametrize("kind", CrowdKind, ids=lambda kind: kind.value)
 async def test_crowd_of_large_bodies_leaves_the_process_alive(deployment, kind):
     address = parse_address(deployment.inbound[_HOST.node_id])
     process = deployment.processes[_HOST.node_id]
--- a/src/coltsfootspar/settings/model.py
+++ b/src/coltsfootspar/settings/model.py
@@ -128,6 +128,8 @@
     :param connections: most open connections of each listener.
     :param idle_seconds: an idle connection is closed after this time.
     :param read_seconds: a request that has begun must be complete in this time.
+    :param memory_mb: memory of the process, megabytes; bodies that would exceed it
+        are refused.
     """
 
     header_bytes: int = attrs.field(
@@ -139,6 +141,9 @@
     connections: int = attrs.field(default=2_000, validator=_require_range(1, 100_000))
     idle_seconds: float = attrs.field(default=75.0, validator=_require_range(1, 3_600))
     read_seconds: float = attrs.field(default=10.0, validator=_require_range(0.1, 600))
+    memory_mb: float = attrs.field(
+        default=512.0, validator=_require_range(64, 1_000_000)
+    )
 
 
 @attrs.frozen(kw_only=True)
--- a/src/coltsfootspar/web/server.py
+++ b/src/coltsfootspar/web/server.py
@@ -1,5 +1,6 @@
 """HTTP server on h11, one task pair for each connection."""
 
+import contextlib
 from collections.abc import Callable
 
 import attrs
@@ -7,7 +8,13 @@
 import trio
 from absl import logging
 
-from coltsfootspar.exceptions import MalformedRequestError, TooLargeError, WebError
+from coltsfootspar.exceptions import (
+    MalformedRequestError,
+    OutOfMemoryError,
+    TooLargeError,
+    WebError,
+)
+from coltsfootspar.memory import Holding, MemoryAccount, create_memory_account
 from coltsfootspar.web.headers import drop_hop_headers
 from coltsfootspar.web.interfaces import (
     HttpHandler,
@@ -22,7 +29,9 @@
 __all__ = ["create_h11_server"]
 
 _RECEIVE_BYTES = 64 << 10
-_READ_AHEAD_BYTES = 1 << 20
+_READ_AHEAD_BYTES = 64 << 10
+# Copies of a whole body while its request is served.
+_BODY_COPIES = 3
 _BODYLESS_STATUS = (204, 304)
 _LINGER_SECONDS = 1.0
 _LISTEN_BACKLOG = 1024
@@ -37,6 +46,7 @@
     _handler: HttpHandler
     _limits: WebLimits
     _count_error: ErrorCounter
+    account: MemoryAccount
     _connections: set["_ServerConnection"] = attrs.field(factory=set)
     _listener_scope: trio.CancelScope = attrs.field(factory=trio.CancelScope)
     _is_draining: bool = False
@@ -109,12 +119,24 @@
     _is_closed: bool = False
     _is_serving: bool = False
     _request_scope: trio.CancelScope | None = None
+    _read_scope: trio.CancelScope | None = None
+    _body: bytearray = attrs.field(factory=bytearray)
+    _holding: Holding = attrs.field(init=False)
+    _is_evicted: bool = False
     _scope: trio.CancelScope = attrs.field(factory=trio.CancelScope)
 
     def __attrs_post_init__(self) -> None:
         self._http = h11.Connection(
             h11.SERVER, max_incomplete_event_size=self._limits.header_bytes
         )
+        self._holding = self._server.account.open(self._evict)
+
+    def _evict(self) -> None:
+        """Drops the body that is being read, and refuses its request."""
+        self._is_evicted = True
+        self._body.clear()
+        if self._read_scope is not None:
+            self._read_scope.cancel()
 
     def close_if_idle(self) -> None:
         """Ends the connection unless a request is being served or waits unread."""
@@ -129,7 +151,7 @@
 
     async def run(self) -> None:
         """Serves the requests of the connection one after the other."""
-        with self._scope:
+        with contextlib.closing(self._holding), self._scope:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._receive)
                 await self._serve_requests()
@@ -167,6 +189,7 @@
                     return
                 if not await self._answer(request):
                     return
+                self._holding.release()
                 self._http.start_next_cycle()
                 self._is_serving = False
         except (h11.RemoteProtocolError, TooLargeError, WebError) as error:
@@ -181,11 +204,13 @@
         if not self._http.trailing_data[0] and not await self._wait_for_data():
             return None
         self._is_serving = True
-        with trio.move_on_after(self._limits.read_seconds):
+        with trio.move_on_after(self._limits.read_seconds) as self._read_scope:
             head = await self._next_event()
             if not isinstance(head, h11.Request):
                 return None
             return await self._read_body(head)
+        if self._is_evicted:
+            raise OutOfMemoryError("no memory for the body")
         raise MalformedRequestError(
             f"request not complete within {self._limits.read_seconds:g} s", code="slow"
         )
@@ -206,11 +231,18 @@
         if self._http.they_are_waiting_for_100_continue:
             go_on = h11.InformationalResponse(status_code=100, headers=[])
             await self._stream.send_all(self._http.send(go_on))
-        body = bytearray()
+        body = self._body = bytearray()
         while isinstance(event := await self._next_event(), h11.Data):
+            if not body:
+                await self._holding.wait_for_room()
             body += event.data
             if len(body) > limit:
                 raise TooLargeError(f"body exceeds {limit} bytes")
+            self._holding.charge(len(event.data) * _BODY_COPIES)
+            if self._is_evicted:
+                await trio.lowlevel.checkpoint()
+        self._holding.is_settled = True
+        self._body = bytearray()
         return HttpRequest(
             method=head.method.decode("ascii").upper(),
             target=head.target.decode("ascii"),
@@ -266,6 +298,8 @@
     async def _reject(self, error: Exception) -> None:
         if isinstance(error, TooLargeError):
             status, code = 413, error.code
+        elif isinstance(error, OutOfMemoryError):
+            status, code = 503, error.code
         elif isinstance(error, h11.RemoteProtocolError):
             status, code = error.error_status_hint, "malformed-http"
         else:
@@ -298,10 +332,14 @@
     handler: HttpHandler,
     limits: WebLimits | None = None,
     count_error: ErrorCounter = lambda code: None,
+    account: MemoryAccount | None = None,
 ) -> HttpServer:
     """Creates a server on h11.
 
     :param handler: answers one request; cancelled when the client goes away.
     :param count_error: called with an error code for each rejected connection.
+    :param account: memory held for the connections of the process.
     """
-    return H11Server(handler, limits or WebLimits(), count_error)
+    return H11Server(
+        handler, limits or WebLimits(), count_error, account or create_memory_account()
+    )
