--- a/src/coltsfootspar/web/server.py
+++ b/src/coltsfootspar/web/server.py
@@ -189,6 +189,8 @@
                     return
                 if not await self._answer(request):
                     return
+                # An idle connection would keep its last body.
+                del request
                 self._holding.release()
                 self._http.start_next_cycle()
                 self._is_serving = False
