Pass on no part of an answer and no status that does not exist

When a server reset its connection while an upload was being written, the failed send took the error of the socket, so the reader saw an ordinary end and completed a response without a length. The same happened with httpcore, which goes on to read after a failed write. Statuses outside 100 to 599 were passed on as answers.

--- a/src/coltsfootspar/relay/client.py
+++ b/src/coltsfootspar/relay/client.py
@@ -94,6 +94,8 @@
     :param has_response_started: true once the head of the response to the current
         request has been received.
     :param echoes_ids: true once a response has echoed the id of its request.
+    :param has_send_failed: true once the server has reset the connection or stopped
+        reading during a request.
     """
 
     sock: socket.socket
@@ -103,6 +105,7 @@
     must_close: bool = False
     has_response_started: bool = False
     echoes_ids: bool = False
+    has_send_failed: bool = False
     _reader: ResponseReader = attrs.field(factory=ResponseReader)
 
     def close(self) -> None:
@@ -181,7 +184,7 @@
             # The server may have responded and closed the connection without reading
             # the body; the task that reads the response detects that. The connection
             # cannot be reused.
-            self.must_close = True
+            self.must_close = self.has_send_failed = True
             if stream is not None:
                 with contextlib.suppress(OSError):
                     self.sock.shutdown(socket.SHUT_WR)
@@ -229,7 +232,9 @@
         try:
             if data:
                 self._reader.feed(data)
-            else:
+            elif not self.has_send_failed:
+                # After a reset that ended the sending, the system reports an ordinary
+                # end of the connection, which must not complete a response.
                 self._reader.feed_eof()
             if self._reader.head_bytes > MAX_RESPONSE_HEAD_BYTES:
                 raise MalformedRequestError("the response head exceeds the limit")
--- a/src/coltsfootspar/relay/messages.py
+++ b/src/coltsfootspar/relay/messages.py
@@ -38,6 +38,7 @@
 _REASONS = {status.value: status.phrase.encode() for status in http.HTTPStatus}
 _NO_BODY_STATUSES = frozenset({204, 304})
 _FIRST_FINAL_STATUS = 200
+_VALID_STATUSES = range(100, 600)
 # Most bytes of chunk sizes, chunk extensions, trailers or blank lines in a row. A peer
 # that sends more of them never reaches the end of its message.
 MAX_FRAMING_BYTES = 65_536
@@ -246,6 +247,8 @@
     def on_headers_complete(self) -> None:
         current = self._current
         current.status = self._parser.get_status_code()
+        if current.status not in _VALID_STATUSES:
+            raise MalformedRequestError("the status is not an HTTP status")
         current.keeps_connection = self._parser.should_keep_alive()
         current.is_close_delimited = (
             b"content-length" not in current.header_values
--- a/src/coltsfootspar/web/client.py
+++ b/src/coltsfootspar/web/client.py
@@ -7,7 +7,7 @@
 import trio
 
 from coltsfootspar.exceptions import TransferError
-from coltsfootspar.web.headers import drop_hop_headers
+from coltsfootspar.web.headers import drop_hop_headers, require_complete_head
 from coltsfootspar.web.interfaces import (
     HttpClient,
     HttpRequest,
@@ -54,7 +54,7 @@
             event = await self._next_event()
         if not isinstance(event, h11.Response):
             raise h11.RemoteProtocolError("connection closed before the response")
-        self._require_length(event, request.method)
+        require_complete_head(event.status_code, event.headers, request.method)
         body = bytearray()
         while isinstance(data := await self._next_event(), h11.Data):
             body += data.data
@@ -78,14 +78,6 @@
             data += self.http.send(h11.Data(data=request.body))
         return data + self.http.send(h11.EndOfMessage())
 
-    def _require_length(self, response: h11.Response, method: str) -> None:
-        # A body that ends with the connection cannot be told from a truncated one.
-        names = {name for name, _ in response.headers}
-        if names & {b"content-length", b"transfer-encoding"} or method == "HEAD":
-            return
-        if response.status_code not in (204, 304):
-            raise h11.RemoteProtocolError("response has no length")
-
     async def _next_event(self) -> h11.Event:
         while (event := self.http.next_event()) is h11.NEED_DATA:
             self.http.receive_data(await self.stream.receive_some(_RECEIVE_BYTES))
--- a/src/coltsfootspar/web/httpcore.py
+++ b/src/coltsfootspar/web/httpcore.py
@@ -4,7 +4,7 @@
 import httpcore
 
 from coltsfootspar.exceptions import TransferError
-from coltsfootspar.web.headers import drop_hop_headers
+from coltsfootspar.web.headers import drop_hop_headers, require_complete_head
 from coltsfootspar.web.interfaces import (
     HttpClient,
     HttpRequest,
@@ -42,6 +42,7 @@
                 content=request.body or None,
                 extensions={"timeout": timeout},
             ) as response:
+                require_complete_head(response.status, response.headers, request.method)
                 body = await self._read_body(response)
         except _NOT_CONNECTED as error:
             raise TransferError(str(error), may_have_run=False) from error
