--- a/src/coltsfootspar/memory/account.py
+++ b/src/coltsfootspar/memory/account.py
@@ -157,7 +157,8 @@
         holding.held_bytes += size
         self.held_bytes += size
         holding.record_progress(size, now)
-        while self.held_bytes > self.budget_bytes:
+        # A request that is alone is served, however large it may be.
+        while self.held_bytes > self.budget_bytes and len(self._holdings) > 1:
             victim = self._find_stalled(now) or self._find_youngest()
             if victim is None:
                 return
