--- a/src/coltsfootspar/relay/connections.py
+++ b/src/coltsfootspar/relay/connections.py
@@ -582,18 +582,20 @@
             self._exchange.evict()
 
     def _evict_input(self) -> None:
-        """Serves none of the input; the last request in progress closes the connection.
+        """Drops the input; the last request in progress closes the connection.
 
-        Requests behind a closing response count as not read.
+        Requests behind a closing response count as not read. When no request is in
+        progress, the first one is served if it is whole.
         """
         if self.exchanges and not self.exchanges[-1].request.is_complete:
             # The input belongs to the body of the last request.
             self.exchanges[-1].evict()
             return
         log_decision("evicted", caller=self.caller_host)
-        self.reader.drop_input()
+        is_unused = not self.exchanges and self._ahead is None
+        self.reader.drop_input(keeps_first=is_unused)
         self.end_reading()
-        if not self.exchanges:
+        if not self.exchanges and not self.reader.messages:
             self._end()
 
     def _charge_input(self) -> None:
@@ -690,8 +692,8 @@
             raise TooLargeError("the request head exceeds the limit")
         if reader.head_bytes or reader.unparsed or len(reader.messages) > 1:
             self._charge_input()
-        # An eviction has dropped the input.
-        return not self.is_broken and not self.is_last_request
+        # An eviction may have dropped the input.
+        return not self.is_last_request or bool(reader.messages)
 
     async def _reject(self, status: int) -> None:
         self.is_reading_head = False
--- a/src/coltsfootspar/relay/messages.py
+++ b/src/coltsfootspar/relay/messages.py
@@ -239,9 +239,15 @@
         unparsed = self.unparsed
         return len(unparsed.obj if isinstance(unparsed, memoryview) else unparsed)
 
-    def drop_input(self) -> None:
-        """Drops what has been received and not been taken; ends the parsing."""
+    def drop_input(self, *, keeps_first: bool) -> None:
+        """Drops what has been received and not been taken; ends the parsing.
+
+        :param keeps_first: true to keep the first request when it is whole.
+        """
+        is_first_kept = keeps_first and self.messages and self.messages[0].is_complete
+        first = [self.messages[0]] if is_first_kept else []
         self.messages.clear()
+        self.messages.extend(first)
         self.unparsed = b""
 
     def add_input(self, data: bytes) -> None:
--- a/src/coltsfootspar/relay/tests/test_requests_ahead.py
+++ b/src/coltsfootspar/relay/tests/test_requests_ahead.py
@@ -17,6 +17,7 @@
 
 SHORTEST = b"GET / HTTP/1.1\r\n\r\n"
 CLOSE = "Connection: close\r\n"
+LIMITS = AheadLimits()
 
 
 def encode(path: str, extra: str = "", body: bytes = b"") -> bytes:
@@ -63,7 +64,7 @@
     stream: trio.SocketStream | None = None
     server: object = None
 
-    async def start(self, nursery, handle, limits=AheadLimits()):  # noqa: B008
+    async def start(self, nursery, handle, limits=LIMITS, account=None):
         async def record(exchange):
             path = exchange.request.target.decode()
             self.started.append(path)
@@ -72,7 +73,7 @@
             finally:
                 self.ended.append(path)
 
-        self.server = create_relay_server(record, limits)
+        self.server = create_relay_server(record, limits, account=account)
         address = Address(HOST, find_free_port(HOST))
         await nursery.start(self.server.serve, address)
         self.stream = await trio.open_tcp_stream(address.host, address.port)
