--- a/src/coltsfootspar/relay/connections.py
+++ b/src/coltsfootspar/relay/connections.py
@@ -17,6 +17,8 @@
     TooLargeError,
     TransferError,
 )
+from coltsfootspar.logs import log_decision
+from coltsfootspar.memory import Holding, MemoryAccount
 from coltsfootspar.relay.ahead import AheadLimits, HeldAnswer, ReadAhead, Turn
 from coltsfootspar.relay.messages import (
     LAST_CHUNK,
@@ -35,6 +37,10 @@
 
 _DISCARD_TIMEOUT_SECONDS = 2.0
 _MAX_DISCARDED_BYTES = 64 << 20
+# Most bytes that are sent before the progress of the caller is noted.
+_SEND_PIECE_BYTES = 32_768
+# Memory of a header beside its bytes: objects, and entries of the two collections.
+_HEADER_BYTES = 320
 _CLOSE_HEADERS: Headers = [(b"Connection", b"close")]
 
 
@@ -46,10 +52,12 @@
     :param ahead_limits: bounds on requests sent ahead; None serves the requests of a
         connection one after the other.
     :param watcher: notices requests sent ahead; None without limits for them.
+    :param account: memory held for the connections of the process.
     """
 
     handler: "Handler"
     limits: ClientLimits
+    account: MemoryAccount
     exchanges: set["Exchange"]
     is_draining: bool
     ahead_limits: AheadLimits | None
@@ -76,7 +84,9 @@
     :param sent_to: ids of the nodes and backend servers that the request was sent to.
     :param turn: its turn to be answered; None when no request was before it on the
         connection.
+    :param cancel_reason: error code of a refusal after :meth:`cancel`.
     :param cancel_scope: surrounds the handler.
+    :param holding: memory held for this request and its response.
     """
 
     request: Request
@@ -88,11 +98,15 @@
     on_deadline: Callable[[], Awaitable[None]] | None = None
     sent_to: set[str] = attrs.field(factory=set)
     turn: Turn | None = None
+    cancel_reason: str = "stopping"
     cancel_scope: trio.CancelScope = attrs.field(
         default=attrs.Factory(
             lambda self: self._connection.cancel_scope, takes_self=True
         )
     )
+    holding: Holding = attrs.field(
+        default=attrs.Factory(lambda self: self._connection.holding, takes_self=True)
+    )
 
     @property
     def connection(self) -> "Connection":
@@ -131,13 +145,24 @@
         :raises TransferError: when the caller disconnects.
         :raises TooLargeError: when the body exceeds the limit for clients.
         """
-        request = self.request
+        request, holding = self.request, self.holding
+        if not request.is_complete:
+            holding.is_settled = False
+            if not holding.held_bytes:
+                holding.charge(request.received_bytes + estimate_head(request))
         while not request.is_complete and request.received_bytes <= limit:
             if self.turn is not None:
                 await self._wait_for_room()
             if request.received_bytes:
                 await trio.lowlevel.checkpoint()
+            await holding.wait_for_room()
+            known_bytes = request.received_bytes
             await self._connection.read_more(request)
+            holding.charge(request.received_bytes - known_bytes)
+        if self.is_cancelled:
+            # The body was dropped to free memory; it must not go on in part.
+            await trio.lowlevel.checkpoint()
+        holding.is_settled = request.is_complete
 
     async def read_body(self) -> bytes:
         """Reads the next piece of the body; empty at its end.
@@ -145,13 +170,17 @@
         :raises TransferError: when the caller disconnects.
         :raises TooLargeError: when the body exceeds the limit for clients.
         """
-        request = self.request
+        request, holding = self.request, self.holding
         await trio.lowlevel.checkpoint()
+        # The previous piece has been sent.
+        holding.release()
         while not request.body_parts and not request.is_complete:
             if self.turn is not None:
                 await self._wait_for_room()
             await self._connection.read_more(request)
-        return request.take_body()
+        body = request.take_body()
+        holding.charge(len(body))
+        return body
 
     async def _wait_for_room(self) -> None:
         if self._connection.is_full:
@@ -167,14 +196,14 @@
         self.has_answered = True
         if self.turn is not None and self.is_behind:
             self.turn.answer = HeldAnswer(status, headers, body, reason)
-            self.turn.answer_bytes = len(body)
+            self._set_kept_bytes(len(body))
             return
         if not self._keeps_connection():
             headers = headers + _CLOSE_HEADERS
         data = encode_response(status, headers, body, reason)
         connection = self._connection
         was_broken, connection.is_broken = connection.is_broken, True
-        await send_all(connection.sock, data)
+        await self._send(data)
         connection.is_broken = was_broken
 
     async def deliver(self) -> None:
@@ -185,6 +214,7 @@
         await self.wait_for_turn()
         held, self.turn.answer = self.turn.answer, None
         if held is not None:
+            self._set_kept_bytes(0)
             await self.answer(held.status, held.headers, held.body, held.reason)
 
     async def stream_response(
@@ -222,7 +252,7 @@
         await send_all(connection.sock, head)
         while data := start or await read():
             start = b""
-            await send_all(connection.sock, data if length else encode_chunk(data))
+            await self._send(data if length else encode_chunk(data))
         if length is None:
             await send_all(connection.sock, LAST_CHUNK)
         connection.is_broken = False
@@ -240,10 +270,48 @@
             if not data:
                 return bytes(start), True
             start += data
-            self.turn.answer_bytes = len(start)
+            self._set_kept_bytes(len(start))
         await self.wait_for_turn()
+        self._set_kept_bytes(0)
         return bytes(start), False
 
+    def _set_kept_bytes(self, size: int) -> None:
+        """Counts the part of the answer that waits for its turn.
+
+        It waits for this process, so it gives way only when nothing else can. Its
+        request has run and cannot be refused, so the connection ends.
+        """
+        turn, holding = self.turn, self.holding
+        added_bytes, turn.answer_bytes = size - turn.answer_bytes, size
+        if added_bytes <= 0:
+            holding.discharge(-added_bytes)
+            return
+        holding.is_settled = True
+        holding.charge(added_bytes)
+        if self._connection.server.account.is_full:
+            log_decision("evicted", caller=self.caller_host)
+            self._connection.abort()
+
+    async def _send(self, data: bytes) -> None:
+        """Sends a part of a response; a large one is held until it has been sent.
+
+        :raises TransferError: when the caller has disconnected.
+        """
+        sock = self._connection.sock
+        if len(data) <= _SEND_PIECE_BYTES:
+            await send_all(sock, data)
+            return
+        holding = self.holding
+        holding.is_settled = False
+        holding.restart(trio.current_time())
+        holding.charge(len(data))
+        rest = memoryview(data)
+        while rest:
+            await send_all(sock, rest[:_SEND_PIECE_BYTES])
+            holding.record_progress(_SEND_PIECE_BYTES, trio.current_time())
+            rest = rest[_SEND_PIECE_BYTES:]
+        holding.discharge(len(data))
+
     def _keeps_connection(self) -> bool:
         """Decides whether the connection stays open after this response.
 
@@ -251,7 +319,8 @@
         first.
         """
         request, connection = self.request, self._connection
-        if not connection.server.is_draining and request.keeps_connection:
+        is_closing = connection.server.is_draining or connection.is_last_request
+        if not is_closing and request.keeps_connection:
             return True
         if connection.has_request_behind(self):
             return True
@@ -288,6 +357,20 @@
         self.is_cancelled = True
         self.cancel_scope.cancel()
 
+    def evict(self) -> None:
+        """Drops what is held, and refuses the request.
+
+        After the beginning of a response, the connection ends instead, with all
+        requests on it.
+        """
+        log_decision("evicted", caller=self.caller_host)
+        self.request.body_parts.clear()
+        if self.has_answered:
+            self._connection.abort()
+            return
+        self.cancel_reason = "no-memory"
+        self.cancel()
+
     @property
     def needs_late_response(self) -> bool:
         """True when a deadline ended the handler before it sent a response."""
@@ -299,6 +382,11 @@
 Handler = Callable[[Exchange], Awaitable[None]]
 
 
+def estimate_head(request: Request) -> int:
+    """Returns about the memory that the head of a request takes, bytes."""
+    return len(request.headers) * _HEADER_BYTES
+
+
 @attrs.define(eq=False)
 class Connection:
     """An accepted connection.
@@ -311,6 +399,9 @@
     :param cancel_scope: surrounds all requests until one is cancelled, since a scope
         for each request is dear; once requests are read ahead, only the reading.
     :param exchanges: requests that are not answered yet, in the order of arrival.
+    :param holding: memory held for the request that the task of the connection serves.
+        A request that is read ahead has its own.
+    :param input_holding: memory held for input of which no request has been taken.
     """
 
     server: ConnectionOwner
@@ -325,10 +416,17 @@
     is_head_timed_out: bool = False
     cancel_scope: trio.CancelScope = attrs.field(factory=trio.CancelScope)
     exchanges: collections.deque[Exchange] = attrs.field(factory=collections.deque)
+    holding: Holding = attrs.field(init=False)
+    input_holding: Holding = attrs.field(init=False)
     _last_request: Request | None = None
     _exchange: Exchange | None = None
     _ahead: ReadAhead | None = None
 
+    def __attrs_post_init__(self) -> None:
+        account = self.server.account
+        self.holding = account.open(self._evict_request)
+        self.input_holding = account.open(self._evict_input)
+
     async def run(self) -> None:
         """Serves requests until either side closes the connection."""
         try:
@@ -342,6 +440,8 @@
                 await self._ahead.end()
             for exchange in list(self.exchanges):
                 self._remove_exchange(exchange)
+            self.holding.close()
+            self.input_holding.close()
         self.is_idle = self.is_reading_head = False
         await self._prepare_close()
 
@@ -384,10 +484,18 @@
             self.is_head_timed_out = True
             self._end()
 
-    def close_idle(self) -> None:
-        """Closes the connection unless a request has started or is waiting unread."""
-        if self.is_idle and not self.exchanges and peek(self.sock) is None:
-            self._end()
+    def close_idle(self) -> bool:
+        """Closes the connection unless a request has started or is waiting unread.
+
+        :returns: true when it is being closed.
+        """
+        is_ending = self.is_broken or self.cancel_scope.cancel_called
+        if is_ending or not self.is_idle or self.exchanges:
+            return False
+        if peek(self.sock) is not None:
+            return False
+        self._end()
+        return True
 
     @property
     def has_unread_input(self) -> bool:
@@ -401,9 +509,15 @@
 
     @property
     def is_full(self) -> bool:
-        """True when the connection holds as many bytes as it may."""
+        """True when the connection holds as many bytes as it may.
+
+        While the process holds much, that is none beside the requests in progress.
+        """
         limits = self.server.ahead_limits
-        return limits is not None and self.held_bytes >= limits.held_bytes
+        if limits is None:
+            return False
+        is_crowded = self.server.account.is_crowded and bool(self.exchanges)
+        return is_crowded or self.held_bytes >= limits.held_bytes
 
     @property
     def has_read_body(self) -> bool:
@@ -475,6 +589,38 @@
         self.is_idle = self.is_reading_head = False
         return None if self.is_last_request else request
 
+    def _evict_request(self) -> None:
+        if self._exchange is not None:
+            self._exchange.evict()
+
+    def _evict_input(self) -> None:
+        """Drops the input; the last request in progress closes the connection.
+
+        Requests behind a closing response count as not read. When no request is in
+        progress, the first one is served if it is whole.
+        """
+        if self.exchanges and not self.exchanges[-1].request.is_complete:
+            # The input belongs to the body of the last request.
+            self.exchanges[-1].evict()
+            return
+        log_decision("evicted", caller=self.caller_host)
+        is_unused = not self.exchanges and self._ahead is None
+        self.reader.drop_input(keeps_first=is_unused)
+        self.end_reading()
+        if not self.exchanges and not self.reader.messages:
+            self._end()
+
+    def _charge_input(self) -> None:
+        """Counts the input of which no request has been taken."""
+        reader, holding = self.reader, self.input_holding
+        size = reader.unparsed_bytes
+        for request in reader.messages:
+            size += estimate_head(request) + request.received_bytes
+        if size > holding.held_bytes:
+            holding.charge(size - holding.held_bytes)
+        else:
+            holding.discharge(holding.held_bytes - size)
+
     async def read_more(self, request: Request) -> None:
         """Reads more of the body of a request.
 
@@ -493,6 +639,8 @@
         except MalformedRequestError:
             self._end_after_answers()
             raise
+        if reader.has_input or self.input_holding.held_bytes:
+            self._charge_input()
         if request.is_complete:
             self._note_body_end()
         if request.received_bytes > self.server.limits.body_bytes:
@@ -537,6 +685,8 @@
             await self._reject(431)
             return None
         request = self._last_request = messages.popleft()
+        if self.input_holding.held_bytes:
+            self._charge_input()
         request.arrived_at = trio.current_time()
         self.is_head_timed_out = False
         return request
@@ -552,7 +702,10 @@
         is_too_long = reader.head_bytes > self.server.limits.header_bytes
         if is_too_long and not (reader.messages and reader.messages[0].has_head):
             raise TooLargeError("the request head exceeds the limit")
-        return True
+        if reader.head_bytes or reader.unparsed or len(reader.messages) > 1:
+            self._charge_input()
+        # An eviction may have dropped the input.
+        return not self.is_last_request or bool(reader.messages)
 
     async def _reject(self, status: int) -> None:
         self.is_reading_head = False
@@ -585,8 +738,17 @@
             exchange.turn = Turn()
         self.exchanges.append(exchange)
         self.server.add_exchange(exchange)
+        if self._ahead is not None:
+            self._charge_ahead(exchange)
         return exchange
 
+    def _charge_ahead(self, exchange: Exchange) -> None:
+        """Counts a request that was read ahead, apart from the others."""
+        request = exchange.request
+        holding = exchange.holding = self.server.account.open(exchange.evict)
+        holding.is_settled = True
+        holding.charge(request.received_bytes + estimate_head(request))
+
     async def _serve(self, request: Request) -> Exchange:
         exchange = self._exchange = self.begin(request, self.cancel_scope)
         watcher = self.server.watcher
@@ -666,6 +828,11 @@
         self.exchanges.remove(exchange)
         if self.exchanges and not self.is_broken:
             self.exchanges[0].turn.has_come.set()
+        self._exchange = None
+        if exchange.holding is self.holding:
+            self.holding.release()
+        else:
+            exchange.holding.close()
         self.server.exchanges.discard(exchange)
         # It refers to the exchange, which would stay as cyclic garbage.
         exchange.on_deadline = None
--- a/src/coltsfootspar/relay/forwarding.py
+++ b/src/coltsfootspar/relay/forwarding.py
@@ -221,7 +221,9 @@
         if not await self._pass_gates(exchange, route, call, organisation):
             return
         if not request.is_complete:
-            exchange.set_deadline(math.inf, lambda: self._refuse(exchange, "stopping"))
+            exchange.set_deadline(
+                math.inf, lambda: self._refuse(exchange, exchange.cancel_reason)
+            )
         try:
             outgoing = await create_outgoing_call(exchange, call, self._names, identity)
         except TooLargeError:
@@ -234,7 +236,9 @@
 
         A caller sends it again if the connection ends before.
         """
-        exchange.set_deadline(math.inf, lambda: self._refuse(exchange, "stopping"))
+        exchange.set_deadline(
+            math.inf, lambda: self._refuse(exchange, exchange.cancel_reason)
+        )
         await exchange.wait_for_turn()
 
     async def _pass_gates(
@@ -558,7 +562,7 @@
         is_unsent = not is_late and not state.may_have_run
         if is_late:
             is_past_deadline = trio.current_time() >= outgoing.call.deadline
-            state.error = "deadline" if is_past_deadline else "stopping"
+            state.error = "deadline" if is_past_deadline else exchange.cancel_reason
             is_unsent = not is_past_deadline and not outgoing.sent_to
         if is_unsent:
             await self._refuse(exchange, state.error, outgoing, state.retry_after)
--- a/src/coltsfootspar/relay/messages.py
+++ b/src/coltsfootspar/relay/messages.py
@@ -38,6 +38,7 @@
 _REASONS = {status.value: status.phrase.encode() for status in http.HTTPStatus}
 _NO_BODY_STATUSES = frozenset({204, 304})
 _FIRST_FINAL_STATUS = 200
+_VALID_STATUSES = range(100, 600)
 # Most bytes of chunk sizes, chunk extensions, trailers or blank lines in a row. A peer
 # that sends more of them never reaches the end of its message.
 MAX_FRAMING_BYTES = 65_536
@@ -232,6 +233,23 @@
         """True when a request, a part of one or a fault has been received."""
         return bool(self.messages or self.unparsed) or self.error is not None
 
+    @property
+    def unparsed_bytes(self) -> int:
+        """Size of the input that is held for what has not been parsed."""
+        unparsed = self.unparsed
+        return len(unparsed.obj if isinstance(unparsed, memoryview) else unparsed)
+
+    def drop_input(self, *, keeps_first: bool) -> None:
+        """Drops what has been received and not been taken; ends the parsing.
+
+        :param keeps_first: true to keep the first request when it is whole.
+        """
+        is_first_kept = keeps_first and self.messages and self.messages[0].is_complete
+        first = [self.messages[0]] if is_first_kept else []
+        self.messages.clear()
+        self.messages.extend(first)
+        self.unparsed = b""
+
     def add_input(self, data: bytes) -> None:
         """Parses input until enough requests wait to be taken, and keeps the rest.
 
@@ -263,7 +281,8 @@
             rest = rest[size:]
             if len(self.messages) >= MAX_PARSED_REQUESTS:
                 break
-        self.unparsed = rest
+        # An empty view would keep the input that it refers to.
+        self.unparsed = rest or b""
 
     def _choose_slice(self) -> int:
         current = self._current
@@ -322,6 +341,8 @@
     def on_headers_complete(self) -> None:
         current = self._current
         current.status = self._parser.get_status_code()
+        if current.status not in _VALID_STATUSES:
+            raise MalformedRequestError("the status is not an HTTP status")
         current.keeps_connection = self._parser.should_keep_alive()
         current.is_close_delimited = (
             b"content-length" not in current.header_values
