--- a/src/coltsfootspar/relay/room.py
+++ b/src/coltsfootspar/relay/room.py
@@ -23,8 +23,11 @@
 PROBE_BUCKETS = 3
 
 WINDOW_SECONDS = 0.1
-# Time constant with which observed demand is forgotten.
-DEMAND_MEMORY_SECONDS = 0.8
+# Time constants with which observed demand is forgotten: as short as possible, but so
+# long that about this many calls are remembered.
+_MIN_MEMORY_SECONDS = 0.5
+_MAX_MEMORY_SECONDS = 1.0
+_REMEMBERED_CALLS = 100
 # A level without calls for this time is forgotten.
 LEVEL_EXPIRY_SECONDS = 10.0
 # Calls of a request that was admitted under an earlier threshold arrive within this
@@ -32,7 +35,7 @@
 PROPAGATION_SECONDS = 1.5
 # Share of the buckets below the threshold in which demand is observed. Nodes do not
 # apply exactly the threshold that was announced here.
-_SAMPLED_SHARE = 0.5
+_SAMPLED_SHARE = 0.75
 # Demand is taken to be at least spread over this time, so that the first calls after
 # a pause do not count as a surge.
 _MIN_EXPOSURE_SECONDS = 0.3
@@ -40,10 +43,10 @@
 
 # Share of the slots that admitted requests may fill on average, so that queues stay
 # short: a request may make many calls one after another.
-ROOM_SHARE = 0.92
+ROOM_SHARE = 0.9
 # Share of the slots from which on the position is announced though all demand fits:
 # senders average it with the thresholds of other servers of the service.
-ANNOUNCED_SHARE = 0.7
+ANNOUNCED_SHARE = 0.25
 # Queueing delay up to which the room is not reduced, as a share of the mean time that
 # a call holds a slot, and its bounds.
 _TARGET_DELAY_SHARE = 0.25
@@ -81,11 +84,18 @@
 
         :param elapsed: length of the window, seconds.
         """
-        decay = math.exp(-elapsed / DEMAND_MEMORY_SECONDS)
+        decay = math.exp(-elapsed / self._compute_memory_seconds())
         self.calls = self.calls * decay + self.arrivals
         self.exposure = self.exposure * decay + elapsed * self.limit / BUCKETS
         self.arrivals = 0
 
+    def _compute_memory_seconds(self) -> float:
+        exposure = max(self.exposure, _MIN_EXPOSURE_SECONDS * self.limit / BUCKETS)
+        rate = self.calls / exposure * self.limit / BUCKETS
+        if rate * _MAX_MEMORY_SECONDS <= _REMEMBERED_CALLS:
+            return _MAX_MEMORY_SECONDS
+        return max(_MIN_MEMORY_SECONDS, _REMEMBERED_CALLS / rate)
+
     def compute_demand(self) -> float:
         """Returns the slots that all calls of the level would hold."""
         share = self.limit / BUCKETS
@@ -215,8 +225,8 @@
                 level.limit = max(PROBE_BUCKETS, int(admitted * _SAMPLED_SHARE))
 
     def get_end(self) -> int:
-        """Returns the position after all requests of the known levels."""
-        return (max(self._levels, default=0) + 1) * BUCKETS
+        """Returns a position beyond all requests of the known levels."""
+        return (max(self._levels, default=0) + 2) * BUCKETS
 
 
 def _find_threshold(demands: dict[int, float], room: float) -> int | None:
--- a/src/coltsfootspar/relay/roomsignals.py
+++ b/src/coltsfootspar/relay/roomsignals.py
@@ -11,13 +11,19 @@
 import attrs
 import trio
 
+from coltsfootspar.relay.ranks import BUCKETS
+
 __all__ = ["RoomSignal", "RoomSignals", "decode_signals", "encode_signals"]
 
 # Age at which a threshold lapses.
 SIGNAL_TTL_SECONDS = 0.6
 # Time constant with which the estimate follows the thresholds of several servers.
-_AVERAGING_SECONDS = 0.05
+_AVERAGING_SECONDS = 0.1
 _MIN_WEIGHT = 0.1
+# A threshold of more weight replaces the average.
+_REPLACING_WEIGHT = 0.9
+# Distance from the edge of a level at which the average passes it.
+_EDGE_BUCKETS = 3
 # Most services whose thresholds are kept and passed on.
 MAX_SIGNALS = 16
 _MAX_POSITION = 1 << 24
@@ -104,10 +110,30 @@
         if elapsed < 0:
             return
         weight = max(_MIN_WEIGHT, 1 - math.exp(-elapsed / _AVERAGING_SECONDS))
-        estimate.position += weight * (signal.position - estimate.position)
+        estimate.position = _approach(estimate.position, signal.position, weight)
         estimate.announced_at = announced_at
 
 
+def _approach(position: float, target: int, weight: float) -> float:
+    """Moves an average towards the threshold of one server.
+
+    Within one level of importance the share of requests is averaged. A threshold in
+    another level counts as all or nothing of this one, until the average has reached
+    its edge: one server without room for it must not outweigh those with room.
+    """
+    if weight > _REPLACING_WEIGHT:
+        return target
+    start = position // BUCKETS * BUCKETS
+    end = start + BUCKETS
+    if target < start and position - start < _EDGE_BUCKETS:
+        position = (target // BUCKETS + 1) * BUCKETS
+    elif target > end and end - position < _EDGE_BUCKETS:
+        position = target // BUCKETS * BUCKETS
+    else:
+        target = min(max(target, start), end)
+    return position + weight * (target - position)
+
+
 def encode_signals(signals: list[RoomSignal]) -> bytes:
     """Encodes thresholds for the header of a reply; ages in milliseconds."""
     return b",".join(
--- a/src/coltsfootspar/relay/tests/test_entry.py
+++ b/src/coltsfootspar/relay/tests/test_entry.py
@@ -222,3 +222,27 @@
     backend.signals.record((RoomSignal("wallet", 0, 0.0),))
     (signal,) = backend.list_signals()
     assert signal.position > compute_position(call)
+
+
+@pytest.mark.parametrize(
+    ("positions", "lowest", "highest"),
+    [
+        # Three servers have room for a quarter of the third level, one for none of it;
+        # then three for all, one for a quarter.
+        ([288, 288, 288, 50], 256, 300),
+        ([8_000, 8_000, 8_000, 290], 340, 384),
+        ([50], 45, 55),
+        ([8_200], 8_190, 8_210),
+    ],
+)
+async def test_thresholds_of_several_servers_are_averaged(
+    autojump_clock, positions, lowest, highest
+):
+    """Guards against one slow server that keeps a whole level of requests out."""
+    signals = RoomSignals()
+    signals.record((RoomSignal("deep", 300, 0.0),))
+    for _ in range(100):
+        for position in positions:
+            await trio.sleep(0.005)
+            signals.record((RoomSignal("deep", position, 0.0),))
+    assert lowest < signals.find_threshold("deep")[0] < highest
