--- a/src/coltsfootspar/memory/account.py
+++ b/src/coltsfootspar/memory/account.py
@@ -121,6 +121,7 @@
     budget_bytes: int
     held_bytes: int = 0
     evictions: int = 0
+    _next_search_at: float = 0.0
     _holdings: set[Holding] = attrs.field(factory=set)
 
     @property
@@ -162,7 +163,12 @@
         ends_at = trio.current_time() + _WAIT_SECONDS
         while self.is_crowded:
             now = trio.current_time()
-            stalled = self._find_stalled(now)
+            stalled = None
+            if now >= self._next_search_at:
+                # The search is shared by all that wait.
+                stalled = self._find_stalled(now)
+                if stalled is None:
+                    self._next_search_at = now + _WAIT_STEP_SECONDS
             if stalled is not None:
                 self._evict(stalled)
             elif now >= ends_at:
--- a/src/coltsfootspar/relay/connections.py
+++ b/src/coltsfootspar/relay/connections.py
@@ -373,6 +373,7 @@
                 while not messages[0].has_head:
                     if not await self._read_input():
                         return None
+                self.holding.release()
             self.is_idle = self.is_reading_head = False
         except MalformedRequestError as error:
             logging.info("Connection closed: %s", error)
