--- a/src/coltsfootspar/fleet/replica.py
+++ b/src/coltsfootspar/fleet/replica.py
@@ -256,6 +256,7 @@
                 await self._run_replica(seat)
             except* _SeatLostError:
                 logging.warning("The seat was given to another host")
+                self._replica = self._lenders = None
                 await self._clear_folder()
             except* (ColtsfootsparError, OSError) as group:
                 for error in group.exceptions:
--- a/src/coltsfootspar/node/tests/test_crowds.py
+++ b/src/coltsfootspar/node/tests/test_crowds.py
@@ -64,7 +64,7 @@
     return answer.status == 200
 
 
-@pytest.mark.xdist_group("crowds")
+@pytest.mark.crowd
 @pytest.mark.parametrize("kind", CrowdKind, ids=lambda kind: kind.value)
 async def test_crowd_of_large_bodies_leaves_the_process_alive(deployment, kind):
     address = parse_address(deployment.inbound[_HOST.node_id])
--- a/src/coltsfootspar/relay/forwarding.py
+++ b/src/coltsfootspar/relay/forwarding.py
@@ -267,7 +267,11 @@
         if seconds is None:
             return True
         await self._refuse(
-            exchange, "over-quota", retry_after=b"%.3f" % seconds, status=429
+            exchange,
+            "over-quota",
+            retry_after=b"%.3f" % seconds,
+            status=429,
+            organisation=organisation.name,
         )
         return False
 
@@ -589,10 +593,12 @@
         outgoing: OutgoingCall | None = None,
         retry_after: bytes = RETRY_AFTER_SECONDS,
         status: int | None = None,
+        organisation: str = "",
     ) -> None:
         """Refuses a request that has not run.
 
         :param status: None chooses the one of the error.
+        :param organisation: organisation whose rate is exceeded.
         """
         self.counters.refused += 1
         if error == WITHDRAWN_KEY_ERROR:
@@ -606,6 +612,7 @@
             service=outgoing.call.service if outgoing else "",
             error=error,
             status=status,
+            organisation=organisation,
             version=self._routes.version,
         )
         if error == "stopping":
