Grant the largest rate that keeps to the rule on rates

Tokens lapse after 0.25 s, no longer 0.45 s, and the rate of the ledger is what the window then leaves. The property tests of the bound pass.

--- a/src/coltsfootspar/quotas/limits.py
+++ b/src/coltsfootspar/quotas/limits.py
@@ -18,12 +18,14 @@
 ]
 
 # Time from the request of a lender to the ledger until the tokens in the reply lapse.
-TOKEN_LIFETIME_SECONDS = 0.45
+TOKEN_LIFETIME_SECONDS = 0.25
 # Shares of the slack: a larger burst, so that ordinary variation of small
 # organisations is not refused, and the first tokens of a new leader, of which several
 # may follow each other in one window.
 _BURST_SHARE = 1 / 2
 _INITIAL_SHARE = 1 / 8
+# Leaders that may open a ledger in one window: their elections take a second or more.
+_LEADERS_IN_WINDOW = 3
 _ID_BYTES = 8
 
 
@@ -57,16 +59,6 @@
     overage: float = 0.1
     slack: float = 20.0
 
-    @property
-    def rate_factor(self) -> float:
-        """Share of a rate that the ledger gives out.
-
-        What is spent in a window was granted in that window or up to the lifetime of
-        a token before it.
-        """
-        covered = self.window + TOKEN_LIFETIME_SECONDS
-        return min(1.0, (1 + self.overage) * self.window / covered)
-
     @property
     def initial_tokens(self) -> float:
         """Tokens of each organisation with which a new ledger starts."""
@@ -75,7 +67,21 @@
     def create_limit(self, organisation: Organisation) -> Limit:
         """Creates the limit of the bucket of an organisation."""
         burst = organisation.burst + self.slack * _BURST_SHARE
-        return Limit(organisation.rate * self.rate_factor, burst)
+        return Limit(self._compute_rate(organisation, burst), burst)
+
+    def _compute_rate(self, organisation: Organisation, burst: float) -> float:
+        """Returns the largest rate that keeps to the allowed requests of each window.
+
+        What is spent in a window was granted in that window or up to the lifetime of
+        a token before it.
+
+        :param burst: burst of the bucket.
+        """
+        allowed = self.compute_allowed(organisation)
+        first_tokens = self.initial_tokens * _LEADERS_IN_WINDOW
+        covered = self.window + TOKEN_LIFETIME_SECONDS
+        largest = organisation.rate * (1 + self.overage)
+        return min(largest, (allowed - burst - first_tokens) / covered)
 
     def compute_allowed(self, organisation: Organisation) -> float:
         """Returns how many requests may run in any window."""
