--- a/src/coltsfootspar/fleet/allowances.py
+++ b/src/coltsfootspar/fleet/allowances.py
@@ -1,6 +1,7 @@
 """Node side of the rates of organisations: asks lenders for tokens."""
 
 import contextvars
+import random
 from collections.abc import Callable, Sequence
 from typing import Protocol
 
@@ -16,12 +17,15 @@
 from coltsfootspar.membership.ports import UdpPort
 from coltsfootspar.quotas import (
     Clock,
+    OutageShare,
+    QuotaRules,
     Spender,
     Ticket,
     TokenReply,
     TokenRequest,
     compute_organisation_id,
     create_boot_clock,
+    create_quota_rules,
 )
 from coltsfootspar.routes import Organisation
 from coltsfootspar.settings.fleet import FleetNodeSettings
@@ -106,6 +110,7 @@
     Implements :class:`~coltsfootspar.relay.gates.QuotaGate`. :meth:`run` has to be
     running; without such requests it sends nothing and does not wake up.
 
+    :param outage: what the node may spend while no lender answers.
     :param _address: where replies arrive.
     :param _key: secret of the deployment.
     """
@@ -115,6 +120,8 @@
     _directory: LenderDirectory
     _clock: Clock
     _spender: Spender
+    outage: OutageShare
+    _rules: QuotaRules
     counters: AllowanceCounters = attrs.field(factory=AllowanceCounters)
     _events: dict[Ticket, trio.Event] = attrs.field(factory=dict)
     _has_waiting: trio.Event = attrs.field(factory=trio.Event)
@@ -128,6 +135,8 @@
         """
         if organisation.rate <= 0:
             return None
+        if self._try_take_in_outage(organisation):
+            return None
         with trio.move_on_after(_WAIT_SECONDS):
             ticket = await self._wait_for_token(organisation)
             if ticket.retry_after is not None:
@@ -136,11 +145,23 @@
             self.counters.granted += 1
             _spent_until.set(ticket.expires_at)
             return None
+        if self._try_take_in_outage(organisation):
+            return None
         self.counters.unavailable += 1
         raise RefusedError(
             "no lender grants tokens", code="no-allowance", retry_after=_RETRY_SECONDS
         )
 
+    def _try_take_in_outage(self, organisation: Organisation) -> bool:
+        number = compute_organisation_id(organisation.name)
+        limit = self._rules.create_limit(organisation)
+        was_active = self.outage.is_active
+        is_taken = self.outage.try_take(number, limit)
+        if self.outage.is_active and not was_active:
+            log_decision("quota-outage-began")
+        self.counters.granted += is_taken
+        return is_taken
+
     def refund(self, organisation: Organisation) -> None:
         """Keeps the token of a request that has reached no backend server.
 
@@ -189,11 +210,15 @@
         lender = self._choose_lender()
         if lender is None or not self._spender.is_waiting:
             return
+        self.outage.record_request()
         reply = await self._exchange(port, lender, self._spender.create_request())
         if reply is not None:
             for ticket in self._spender.apply_reply(reply):
                 self._events[ticket].set()
         if reply is not None and reply.is_available:
+            if self.outage.is_active:
+                log_decision("quota-outage-ended", lender=str(lender))
+            self.outage.record_answer()
             self._avoided_until.pop(lender, None)
         else:
             self._avoid(lender)
@@ -253,15 +278,27 @@
     )
     address = Address(settings.host, settings.quota_port)
     key = bytes.fromhex(settings.shared_key)
-    return create_allowance_service(address, key, directory, create_boot_clock())
+    bounds = settings.bounds
+    rules = create_quota_rules(
+        bounds.quota_window_seconds, bounds.quota_overage, bounds.quota_slack
+    )
+    return create_allowance_service(address, key, directory, create_boot_clock(), rules)
 
 
 def create_allowance_service(
-    address: Address, key: bytes, directory: LenderDirectory, clock: Clock
+    address: Address,
+    key: bytes,
+    directory: LenderDirectory,
+    clock: Clock,
+    rules: QuotaRules | None = None,
 ) -> AllowanceService:
     """Creates the service of a node.
 
     :param address: where replies arrive; port 0 selects a free port.
     :param key: secret of the deployment.
+    :param rules: rules of the deployment; None selects the defaults.
     """
-    return AllowanceService(address, key, directory, clock, Spender(clock))
+    outage = OutageShare(clock, random.SystemRandom())
+    return AllowanceService(
+        address, key, directory, clock, Spender(clock), outage, rules or QuotaRules()
+    )
--- a/src/coltsfootspar/fleet/node.py
+++ b/src/coltsfootspar/fleet/node.py
@@ -193,6 +193,9 @@
         self.allowances = fleet.create_seat_allowance_service(
             self.settings, self.membership, self.find_replica
         )
+        members = self.membership.list_members()
+        present = sum(member.is_present for member in members)
+        self.allowances.outage.update_nodes(present)
         self.forwarder.quota_gate = self.allowances
         self._nursery.start_soon(self.allowances.run)
 
@@ -318,6 +321,8 @@
             members = self.membership.list_members()
             present_ids = {member.node_id for member in members if member.is_present}
             self.forwarder.update_nodes(present_ids)
+            if self.allowances is not None:
+                self.allowances.outage.update_nodes(len(present_ids))
             limits = self.routes.table.limits
             self.outbound.limits = limits
             self.inbound.limits = attrs.evolve(
--- a/src/coltsfootspar/quotas/__init__.py
+++ b/src/coltsfootspar/quotas/__init__.py
@@ -23,6 +23,7 @@
     TokenReply,
     TokenRequest,
 )
+from coltsfootspar.quotas.outage import OutageShare
 from coltsfootspar.quotas.spending import Spender, Ticket
 
 __all__ = [
@@ -31,6 +32,7 @@
     "Ledger",
     "Lender",
     "Limit",
+    "OutageShare",
     "QuotaRules",
     "RefillReply",
     "RefillRequest",
