--- a/src/coltsfootspar/admission/tests/test_permits.py
+++ b/src/coltsfootspar/admission/tests/test_permits.py
@@ -2,7 +2,7 @@
 
 import attrs
 import trio
-from hypothesis import given, settings, strategies as st
+from hypothesis import example, given, settings, strategies as st
 
 from coltsfootspar.admission import create_admission_controller
 from coltsfootspar.calls import CallContext, CallRequest, Priority
@@ -81,6 +81,8 @@
                 case "slots":
                     history.max_slots = max(history.in_use, step["slots"])
                     controller.update_slots(step["slots"], step["cold"])
+                    # The calls that got a slot have to count themselves, too.
+                    await trio.testing.wait_all_tasks_blocked()
                 case "pause":
                     await trio.sleep(step["seconds"])
                     if history.in_use <= controller.limit:
@@ -90,7 +92,32 @@
     assert controller.in_use == controller.waiting == 0
 
 
+def create_call_step(seconds: float) -> dict:
+    return {
+        "kind": "call",
+        "row": 0,
+        "importance": 0,
+        "depth": 0,
+        "deadline": 1.0,
+        "seconds": seconds,
+        "patience": 5.0,
+        "succeeded": False,
+    }
+
+
+# A slot that is added goes to a waiting call, whose task has not run yet.
+STEPS_WITH_ADDED_SLOT = [
+    create_call_step(0.0),
+    create_call_step(1.0),
+    create_call_step(1.0),
+    {"kind": "slots", "slots": 1, "cold": 0.0},
+    {"kind": "pause", "seconds": 0.1875},
+    {"kind": "slots", "slots": 2, "cold": 0.0},
+]
+
+
 @SETTINGS
+@example(STEPS_WITH_ADDED_SLOT, 0)
 @given(STEPS, st.integers(0, 4))
 def test_permits_stay_within_the_limit_and_every_caller_ends(steps, slots):
     clock = trio.testing.MockClock(autojump_threshold=0)
