Encode the room of services once in 20 ms

Each reply encoded the thresholds of all services anew, and each caller's node decoded them. The ages in the header are ahead by its lifetime, so no node takes a threshold for newer than it is.

--- a/src/coltsfootspar/relay/backend.py
+++ b/src/coltsfootspar/relay/backend.py
@@ -34,7 +34,7 @@
 from coltsfootspar.relay.messages import Headers, Response
 from coltsfootspar.relay.outgoing import encode_outgoing_call
 from coltsfootspar.relay.room import RoomEstimator
-from coltsfootspar.relay.roomsignals import RoomSignal, RoomSignals
+from coltsfootspar.relay.roomsignals import RoomSignal, RoomSignals, encode_signals
 from coltsfootspar.relay.running import RunningCalls
 from coltsfootspar.wire import Address
 
@@ -54,6 +54,8 @@
 # a new one: a server may close an idle connection while the request is in flight.
 NON_IDEMPOTENT_IDLE_SECONDS = 1.0
 RESPONSE_BUFFER_BYTES = 262_144
+# Time for which the header with the room of services is used again.
+ROOM_HEADER_SECONDS = 0.02
 DEFAULT_RETRY_RATIO = 0.2
 _MISDIRECTED_REQUEST = 421
 # Codes of transfers that end when the process of the backend server does.
@@ -132,6 +134,8 @@
     )
     room: RoomEstimator = attrs.field(factory=RoomEstimator)
     signals: RoomSignals = attrs.field(factory=RoomSignals)
+    _room_header: bytes = b""
+    _room_header_until: float = -float("inf")
     _newest_order: tuple[int, int] = (-1, -1)
     _last_report: BackendReport | None = None
     _older_reports: _OlderReports | None = None
@@ -171,6 +175,20 @@
             return signals
         return [RoomSignal(service, position, 0.0), *others]
 
+    def get_room_header(self) -> bytes:
+        """Returns the room of all known services for the header of a reply.
+
+        It is encoded anew only after a while: at a full service, it would take a good
+        part of the processor time of a call.
+
+        :returns: empty when none is known.
+        """
+        now = trio.current_time()
+        if now >= self._room_header_until:
+            self._room_header_until = now + ROOM_HEADER_SECONDS
+            self._room_header = encode_signals(self.list_signals(), ROOM_HEADER_SECONDS)
+        return self._room_header
+
     def set_retry_ratio(self, ratio: float) -> None:
         """Sets the retries allowed for each call, over all nodes."""
         self.allocator.ratio = ratio * NOT_RUN_SHARE
--- a/src/coltsfootspar/relay/receiving.py
+++ b/src/coltsfootspar/relay/receiving.py
@@ -29,7 +29,6 @@
 from coltsfootspar.relay.connections import Exchange
 from coltsfootspar.relay.messages import Headers, Response
 from coltsfootspar.relay.outgoing import create_outgoing_call
-from coltsfootspar.relay.roomsignals import encode_signals
 
 __all__ = ["CallReceiver", "send_reply"]
 
@@ -100,9 +99,9 @@
             headers.append((RETRIES_HEADER, allowance))
         if reply.reached:
             headers.append((REACHED_HEADER, encode_reached(reply.reached)))
-        signals = self._backend.list_signals()
-        if signals:
-            headers.append((ROOM_HEADER, encode_signals(signals)))
+        room = self._backend.get_room_header()
+        if room:
+            headers.append((ROOM_HEADER, room))
         await send_reply(exchange, reply, headers)
 
 
--- a/src/coltsfootspar/relay/roomsignals.py
+++ b/src/coltsfootspar/relay/roomsignals.py
@@ -6,6 +6,7 @@
 on.
 """
 
+import functools
 import math
 
 import attrs
@@ -27,6 +28,8 @@
 # Most services whose thresholds are kept and passed on.
 MAX_SIGNALS = 16
 _MAX_POSITION = 1 << 24
+# Headers of nodes repeat for some milliseconds.
+_MAX_CACHED_HEADERS = 256
 
 
 @attrs.frozen
@@ -134,14 +137,24 @@
     return position + weight * (target - position)
 
 
-def encode_signals(signals: list[RoomSignal]) -> bytes:
-    """Encodes thresholds for the header of a reply; ages in milliseconds."""
+def encode_signals(signals: list[RoomSignal], extra_age: float = 0.0) -> bytes:
+    """Encodes thresholds for the header of a reply; ages in milliseconds.
+
+    :param extra_age: time for which the result is used, seconds; added to the ages, so
+        that no node takes a threshold for newer than it is.
+    """
     return b",".join(
-        b"%s=%d/%d" % (signal.service.encode(), signal.position, signal.age * 1e3)
+        b"%s=%d/%d"
+        % (
+            signal.service.encode(),
+            signal.position,
+            math.ceil((signal.age + extra_age) * 1e3),
+        )
         for signal in signals
     )
 
 
+@functools.lru_cache(_MAX_CACHED_HEADERS)
 def decode_signals(value: bytes | None) -> tuple[RoomSignal, ...]:
     """Decodes thresholds; malformed ones are left out."""
     if not value:
--- a/src/coltsfootspar/relay/tests/test_entry.py
+++ b/src/coltsfootspar/relay/tests/test_entry.py
@@ -6,7 +6,14 @@
 from hypothesis import given, settings, strategies as st
 
 from coltsfootspar.calls import Outcome
-from coltsfootspar.relay import Call, PriorityClass, Reply, create_room_gate
+from coltsfootspar.relay import (
+    Call,
+    HeaderNames,
+    PriorityClass,
+    Reply,
+    create_backend_server,
+    create_room_gate,
+)
 from coltsfootspar.relay.calls import INTERNAL_HEADERS, compute_position, inherit
 from coltsfootspar.relay.calltrees import CallTrees, decode_reached, encode_reached
 from coltsfootspar.relay.nesting import MIN_NESTED_REQUESTS, Origin, OriginClassifier
@@ -246,3 +253,17 @@
             await trio.sleep(0.005)
             signals.record((RoomSignal("deep", position, 0.0),))
     assert lowest < signals.find_threshold("deep")[0] < highest
+
+
+async def test_header_with_room_is_never_newer_than_its_thresholds(autojump_clock):
+    """Guards against nodes that keep a threshold alive among themselves."""
+    backend = create_backend_server(HeaderNames(), lambda: None)
+    backend.signals.record((RoomSignal("fleet", 300, 0.1),))
+    heard_at = trio.current_time()
+    for _ in range(30):
+        (signal,) = decode_signals(backend.get_room_header())
+        assert signal.position == 300
+        assert signal.age >= 0.1 + trio.current_time() - heard_at - 1e-3
+        await trio.sleep(0.007)
+    await trio.sleep(0.7)
+    assert backend.get_room_header() == b""
