--- a/src/coltsfootspar/relay/__init__.py
+++ b/src/coltsfootspar/relay/__init__.py
@@ -14,13 +14,13 @@
     create_capacity_estimator,
     create_fixed_capacity,
 )
-from coltsfootspar.relay.connections import Exchange
 from coltsfootspar.relay.crash_notices import (
     CrashNotifier,
     create_crash_notifier,
     create_peer_handler,
 )
 from coltsfootspar.relay.entry import RoomGate, create_room_gate
+from coltsfootspar.relay.exchanges import Exchange
 from coltsfootspar.relay.forwarding import Forwarder, RelayCounters
 from coltsfootspar.relay.identification import RevocationPolicy
 from coltsfootspar.relay.limiter import ConcurrencyLimiter, create_concurrency_limiter
--- a/src/coltsfootspar/relay/crash_notices.py
+++ b/src/coltsfootspar/relay/crash_notices.py
@@ -12,8 +12,8 @@
 from coltsfootspar.logs import log_decision
 from coltsfootspar.relay.calls import CALL_HEADER
 from coltsfootspar.relay.client import ConnectionPool, OutgoingRequest
-from coltsfootspar.relay.connections import Exchange, Handler
 from coltsfootspar.relay.crash_guard import CrashGuard
+from coltsfootspar.relay.exchanges import Exchange, Handler
 from coltsfootspar.relay.forwarding import NodeDirectory
 from coltsfootspar.relay.messages import encode_request
 from coltsfootspar.timers import TimerService
--- a/src/coltsfootspar/relay/forwarding.py
+++ b/src/coltsfootspar/relay/forwarding.py
@@ -36,7 +36,7 @@
 )
 from coltsfootspar.relay.calltrees import decode_reached
 from coltsfootspar.relay.client import ClientConnection, ConnectionPool, OutgoingRequest
-from coltsfootspar.relay.connections import Exchange
+from coltsfootspar.relay.exchanges import Exchange
 from coltsfootspar.relay.gates import (
     EntryGate,
     OpenEntryGate,
--- a/src/coltsfootspar/relay/outgoing.py
+++ b/src/coltsfootspar/relay/outgoing.py
@@ -11,7 +11,7 @@
     OutgoingRequest,
     StreamedBody,
 )
-from coltsfootspar.relay.connections import Exchange
+from coltsfootspar.relay.exchanges import Exchange
 from coltsfootspar.relay.identification import Identity
 from coltsfootspar.relay.messages import Headers, encode_request, filter_headers
 
--- a/src/coltsfootspar/relay/receiving.py
+++ b/src/coltsfootspar/relay/receiving.py
@@ -26,7 +26,7 @@
     encode_load,
 )
 from coltsfootspar.relay.calltrees import encode_reached
-from coltsfootspar.relay.connections import Exchange
+from coltsfootspar.relay.exchanges import Exchange
 from coltsfootspar.relay.messages import Headers, Response
 from coltsfootspar.relay.outgoing import create_outgoing_call
 
--- a/src/coltsfootspar/relay/server.py
+++ b/src/coltsfootspar/relay/server.py
@@ -15,12 +15,8 @@
     create_memory_account,
 )
 from coltsfootspar.relay.ahead import AheadLimits, ReadAhead
-from coltsfootspar.relay.connections import (
-    Connection,
-    Exchange,
-    Handler,
-    log_failure,
-)
+from coltsfootspar.relay.connections import Connection, log_failure
+from coltsfootspar.relay.exchanges import Exchange, Handler
 from coltsfootspar.relay.sockets import accept, find_closed, listen
 from coltsfootspar.relay.watching import InputWatcher, create_input_watcher
 from coltsfootspar.routes import ClientLimits
--- a/src/coltsfootspar/relay/tests/test_endless_bodies.py
+++ b/src/coltsfootspar/relay/tests/test_endless_bodies.py
@@ -9,7 +9,8 @@
 from coltsfootspar.exceptions import MalformedRequestError
 from coltsfootspar.relay import create_relay_server
 from coltsfootspar.relay.client import ClientConnection, OutgoingRequest
-from coltsfootspar.relay.connections import Connection, Exchange
+from coltsfootspar.relay.connections import Connection
+from coltsfootspar.relay.exchanges import Exchange
 from coltsfootspar.relay.messages import MAX_HEADERS, RequestReader, ResponseReader
 from coltsfootspar.routes import Repetition, RouteTable, Service
 from coltsfootspar.testing.ports import find_free_port
