Give each test a full budget of log lines

A process writes 40 lines of decisions a second, and the tests before it on the same worker had used them up.

--- a/src/coltsfootspar/conftest.py
+++ b/src/coltsfootspar/conftest.py
@@ -6,6 +6,8 @@
 import pytest
 import trio
 
+from coltsfootspar.logs import decisions
+
 _KNOWN_RED = pathlib.Path(__file__).parents[2] / "KNOWN-RED.txt"
 
 
@@ -20,6 +22,15 @@
     monkeypatch.setattr(trio._core._run, "_r", random.Random(0))
 
 
+@pytest.fixture(autouse=True)
+def renew_log_budget(monkeypatch):
+    """Gives each test all lines of decisions.
+
+    The tests before it in the same process may have used them up.
+    """
+    monkeypatch.setattr(decisions, "_budget", decisions._Budget())
+
+
 def list_known_red():
     """Lists the names of the entries in KNOWN-RED.txt."""
     if not _KNOWN_RED.exists():
