Look for an outage of the lenders before anything is computed for it

Read once more: each keyed request made a limit and read the boot clock, although no lender was silent. Both now wait until a request to a lender has no answer yet.

--- a/src/coltsfootspar/fleet/allowances.py
+++ b/src/coltsfootspar/fleet/allowances.py
@@ -153,12 +153,14 @@
         )
 
     def _try_take_in_outage(self, organisation: Organisation) -> bool:
+        was_active = self.outage.is_active
+        if not self.outage.refresh():
+            return False
+        if not was_active:
+            log_decision("quota-outage-began")
         number = compute_organisation_id(organisation.name)
         limit = self._rules.create_limit(organisation)
-        was_active = self.outage.is_active
         is_taken = self.outage.try_take(number, limit)
-        if self.outage.is_active and not was_active:
-            log_decision("quota-outage-began")
         self.counters.granted += is_taken
         return is_taken
 
--- a/src/coltsfootspar/quotas/outage.py
+++ b/src/coltsfootspar/quotas/outage.py
@@ -64,22 +64,29 @@
         self.is_active = False
         self._buckets.clear()
 
+    def refresh(self) -> bool:
+        """Tells whether the node spends its own share now."""
+        # Without a request that waits for an answer, the clock need not be read.
+        self.is_active = self._silent_since is not None and self._is_outage(
+            self.clock.read()
+        )
+        return self.is_active
+
     def try_take(self, organisation: int, limit: Limit) -> bool:
         """Takes a token of the node's own share.
 
         :returns: false without an outage, and when the share is used up.
         """
-        now = self.clock.read()
-        self.is_active = self._is_outage(now)
-        if not self.is_active:
+        if not self.refresh():
             return False
+        now = self.clock.read()
         bucket = self._buckets.get(organisation)
         if bucket is None:
             bucket = self._buckets[organisation] = self._create_bucket(limit)
         return bucket.take(1, now) == 1
 
     def _is_outage(self, now: float) -> bool:
-        if self._silent_since is None or not self._most_nodes:
+        if not self._most_nodes:
             return False
         silence = now - self._silent_since
         return (
