--- a/review/standins/scripts.py
+++ b/review/standins/scripts.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 import pathlib
+import signal
 import sys
 import tempfile
 import traceback
@@ -27,6 +28,8 @@
     :param services: service of each node.
     :param play: coroutine function that returns the breaks it has seen, one line each.
     """
+    # Ends the processes of the deployment, too.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     record = deployment.Record(pathlib.Path(case_folder) / "record.txt")
     record.write(f"trouble: {'yes' if HAS_TROUBLE else 'no'}")
     code = 2
