--- a/src/coltsfootspar/conftest.py
+++ b/src/coltsfootspar/conftest.py
@@ -32,11 +32,12 @@
 
 
 def list_known_red():
-    """Lists the names of the entries in KNOWN-RED.txt."""
+    """Lists the names of the entries in KNOWN-RED.txt, each up to a semicolon."""
     if not _KNOWN_RED.exists():
         return []
     lines = _KNOWN_RED.read_text().splitlines()
-    return [line.removeprefix("entry: ") for line in lines if "entry: " in line]
+    entries = [line for line in lines if "entry: " in line]
+    return [line.removeprefix("entry: ").partition(";")[0] for line in entries]
 
 
 def pytest_collection_modifyitems(items):
--- a/src/coltsfootspar/node/tests/test_crowds.py
+++ b/src/coltsfootspar/node/tests/test_crowds.py
@@ -18,6 +18,7 @@
     read_peak_memory,
     send_ordinary,
 )
+from coltsfootspar.testing.oddcrowds import OddCrowd, OddKind
 from coltsfootspar.wire import parse_address
 
 _LOCK = pathlib.Path(tempfile.gettempdir()) / "coltsfootspar-crowds.lock"
@@ -33,7 +34,15 @@
 DESCRIPTORS = 300
 CLIENTS = 80
 BODY_BYTES = 2_000_000
+ODD_CLIENTS = 240
 _HEAD = b"POST /specs/1 HTTP/1.1\r\nHost: specs\r\n"
+_ODD_KINDS = (
+    OddKind.HEADS_AT_ONCE,
+    OddKind.HEADS_AHEAD,
+    pytest.param(OddKind.BODY_STOPS, marks=pytest.mark.known_red("odd-product-body")),
+    OddKind.EXTENSIONS,
+    OddKind.SLOW_READER_AHEAD,
+)
 _ORDINARY = _HEAD + b"Connection: close\r\nContent-Length: 5\r\n\r\nhello"
 
 
@@ -67,9 +76,20 @@
 @pytest.mark.crowd
 @pytest.mark.parametrize("kind", CrowdKind, ids=lambda kind: kind.value)
 async def test_crowd_of_large_bodies_leaves_the_process_alive(deployment, kind):
+    await _press(deployment, Crowd(kind, _HEAD, CLIENTS, BODY_BYTES))
+
+
+@pytest.mark.crowd
+@pytest.mark.parametrize("kind", _ODD_KINDS)
+async def test_crowd_of_odd_requests_leaves_the_process_alive(deployment, kind):
+    large = _HEAD + b"Content-Length: 0\r\n\r\n"
+    await _press(deployment, OddCrowd((kind,), _HEAD, large, ODD_CLIENTS))
+
+
+async def _press(deployment, crowd: Crowd | OddCrowd) -> None:
+    """Lets a crowd press, and checks the process and an ordinary request."""
     address = parse_address(deployment.inbound[_HOST.node_id])
     process = deployment.processes[_HOST.node_id]
-    crowd = Crowd(kind, _HEAD, CLIENTS, BODY_BYTES)
     async with trio.open_nursery() as nursery:
         await nursery.start(crowd.press, address)
         answer = await send_ordinary(address, _ORDINARY)
