Accept only short frames until a peer has proved the key

Callers of a replica that ran out of memory saw no answer. A peer could announce a frame of 1 MiB before the handshake, and the replica kept what came of it for three seconds, on up to 2,048 connections. 600 of them brought a replica to 396.9 MB, bound 100 MB. A frame of the handshake now has 4 KiB at most; none of ours comes near.

test_crowd_of_unfinished_handshakes_leaves_the_replica_alive failed before and passes.

--- a/src/coltsfootspar/wire/connection.py
+++ b/src/coltsfootspar/wire/connection.py
@@ -11,6 +11,8 @@
 from coltsfootspar.exceptions import ColtsfootsparError, FrameError, LinkError
 from coltsfootspar.wire.frames import (
     BODY_CHUNK_BYTES,
+    MAX_FRAME_BYTES,
+    MAX_HANDSHAKE_FRAME_BYTES,
     Frame,
     FrameDecoder,
     FrameFlag,
@@ -390,8 +392,9 @@
     :returns: a connection whose :meth:`Connection.run` the caller starts.
     :raises HandshakeError: when the peer does not belong to the deployment.
     """
-    decoder = FrameDecoder()
+    decoder = FrameDecoder(MAX_HANDSHAKE_FRAME_BYTES)
     peer = await shake_hands(stream, identity, decoder, is_dialer=is_dialer)
+    decoder.max_frame_bytes = MAX_FRAME_BYTES
     return Connection(
         peer, stream, decoder, handler, notice_handler, limits or ConnectionLimits()
     )
--- a/src/coltsfootspar/wire/frames.py
+++ b/src/coltsfootspar/wire/frames.py
@@ -19,11 +19,14 @@
     "FrameFlag",
     "FrameKind",
     "MAX_FRAME_BYTES",
+    "MAX_HANDSHAKE_FRAME_BYTES",
     "Message",
     "encode_frame",
 ]
 
 MAX_FRAME_BYTES = 1 << 20
+# Longest frame of a peer that has not proved the shared key.
+MAX_HANDSHAKE_FRAME_BYTES = 4_096
 BODY_CHUNK_BYTES = 64 << 10
 _HEADER = struct.Struct(">IBBI")
 _LENGTH_BYTES = 4
@@ -143,8 +146,11 @@
         decoder.feed(data)
         while (frame := decoder.take_frame()) is not None:
             ...
+
+    :param max_frame_bytes: longest payload that is accepted.
     """
 
+    max_frame_bytes: int = MAX_FRAME_BYTES
     _buffer: bytearray = attrs.field(factory=bytearray)
 
     def feed(self, data: bytes) -> None:
@@ -161,7 +167,7 @@
         if len(buffer) < _LENGTH_BYTES:
             return None
         size = int.from_bytes(buffer[:_LENGTH_BYTES])
-        if not _FIXED_BYTES <= size <= MAX_FRAME_BYTES + _FIXED_BYTES:
+        if not _FIXED_BYTES <= size <= self.max_frame_bytes + _FIXED_BYTES:
             raise FrameError(f"frame length of {size} bytes is not allowed")
         end = _LENGTH_BYTES + size
         if len(buffer) < end:
