Count what the head of a request costs, and free it with the refusal

Seen: a single GET with 1,000 lines `a:` got 400 in calm, 4 kB of 16,384 allowed. 600 connections with five heads of 16 kB in short lines each brought a node to 140.7 MB with 100 MB in its settings, though all were refused; so did heads sent ahead (132.0), and odd heads with bodies, chunks or trailers that stop (103 to 129), at each address of a node and of a replica.

Cause: the limit was a count of lines, the account counted requests only while they were incomplete, up to 16 heads were parsed ahead whatever they cost, an idle connection kept its last request, and a refused one kept its input, through the frames of the error, until it had been closed. A head that came in one read had no limit at all.

Parsing ahead stops at 256 KiB of parsed heads. What is taken from the input stays counted until the answer, per connection (bytes_ahead) and for the process. A whole request that costs over 64 KiB is refused (503, not run, Retry-After) while the process holds much; one under 8 KiB is always served. The content of a request goes with its answer or its refusal. Unfinished trailers and chunk extensions count, too.

The test of a count of lines was wrong, since heads inside the limits met it; those in its place bound the memory of any head within its bytes, heads ahead, and a long head in one read. The test of bytes ahead now counts heads, too.

--- a/src/coltsfootspar/relay/connections.py
+++ b/src/coltsfootspar/relay/connections.py
@@ -20,9 +20,9 @@
 from coltsfootspar.relay.ahead import AheadLimits, ReadAhead, Turn
 from coltsfootspar.relay.exchanges import (
     CLOSE_HEADERS,
+    NO_MEMORY_HEADERS,
     Exchange,
     Handler,
-    estimate_head,
 )
 from coltsfootspar.relay.messages import (
     Request,
@@ -37,6 +37,10 @@
 
 _DISCARD_TIMEOUT_SECONDS = 2.0
 _MAX_DISCARDED_BYTES = 64 << 20
+# A whole request that takes no more is served even when the process holds all it may.
+_SMALL_REQUEST_BYTES = 8_192
+# A head that takes more is refused while the process holds much.
+_LARGE_HEAD_BYTES = 65_536
 
 
 class ConnectionOwner(Protocol):
@@ -118,10 +122,17 @@
                 await self._ahead.end()
             for exchange in list(self.exchanges):
                 self._remove_exchange(exchange)
+            has_input = self.reader.has_input
+            self._drop_input()
             self.holding.close()
             self.input_holding.close()
         self.is_idle = self.is_reading_head = False
-        await self._prepare_close()
+        await self._prepare_close(has_input=has_input)
+
+    def _drop_input(self) -> None:
+        """Frees the input, of which no further request is served."""
+        self.reader.close()
+        self.input_holding.release()
 
     async def _serve_until_cancelled(self) -> None:
         """Serves requests until the connection ends, or one is cancelled or fails."""
@@ -139,15 +150,18 @@
         if self._exchange is not None:
             await self._finish_cancelled(self._exchange)
 
-    async def _prepare_close(self) -> None:
-        """Sends a refusal that is due, and reads what would reset the connection."""
+    async def _prepare_close(self, *, has_input: bool) -> None:
+        """Sends a refusal that is due, and reads what would reset the connection.
+
+        :param has_input: true when input behind the last request was dropped.
+        """
         if self.is_last_request:
-            await self._discard_requests_behind()
+            await self._discard_requests_behind(has_input=has_input)
         elif self.is_head_timed_out:
             await self._reject(408)
         elif self._ahead is not None and not self.is_broken:
             # At a stop, the last response may have begun before and announce no close.
-            await self._discard_requests_behind()
+            await self._discard_requests_behind(has_input=has_input)
 
     def enforce_read_timeouts(self, now: float) -> None:
         """Closes a connection that is idle or receives a head for too long.
@@ -182,7 +196,7 @@
 
     @property
     def held_bytes(self) -> int:
-        """Bytes held for requests that are not answered: bodies and kept answers."""
+        """Bytes held for requests that are not answered, and for kept answers."""
         return sum(exchange.held_bytes for exchange in self.exchanges)
 
     @property
@@ -291,9 +305,7 @@
     def _charge_input(self) -> None:
         """Counts the input of which no request has been taken."""
         reader, holding = self.reader, self.input_holding
-        size = reader.unparsed_bytes
-        for request in reader.messages:
-            size += estimate_head(request) + request.received_bytes
+        size = reader.held_bytes
         if size > holding.held_bytes:
             holding.charge(size - holding.held_bytes)
         else:
@@ -317,7 +329,7 @@
         except MalformedRequestError:
             self._end_after_answers()
             raise
-        if reader.has_input or self.input_holding.held_bytes:
+        if reader.has_input or reader.framing_bytes or self.input_holding.held_bytes:
             self._charge_input()
         if request.is_complete:
             self._note_body_end()
@@ -343,24 +355,20 @@
         messages = self.reader.messages
         self.is_idle, self.is_reading_head = not self.reader.has_input, True
         self.waiting_since = trio.current_time()
+        self.reader.max_head_bytes = self.server.limits.header_bytes
+        status = 0
         try:
-            if self.is_idle:
-                await wait_readable(self.sock)
-            while not messages:
-                if not await self._read_input():
-                    return None
-            if not messages[0].has_head:
-                self.is_idle, self.waiting_since = False, trio.current_time()
-                while not messages or not messages[0].has_head:
-                    if not await self._read_input():
-                        return None
-            self.is_idle = self.is_reading_head = False
+            if not await self._read_head(messages):
+                return None
         except MalformedRequestError as error:
             logging.info("Connection closed: %s", error)
-            await self._reject(400)
-            return None
+            status = 400
         except TooLargeError:
-            await self._reject(431)
+            status = 431
+        if status:
+            # Outside of the handlers, whose errors refer to the input.
+            self._drop_input()
+            await self._reject(status)
             return None
         request = self._last_request = messages.popleft()
         if self.input_holding.held_bytes:
@@ -369,6 +377,24 @@
         self.is_head_timed_out = False
         return request
 
+    async def _read_head(self, messages: collections.deque[Request]) -> bool:
+        """Reads until the head of the next request is complete.
+
+        :returns: false when the connection ends before.
+        """
+        if self.is_idle:
+            await wait_readable(self.sock)
+        while not messages:
+            if not await self._read_input():
+                return False
+        if not messages[0].has_head:
+            self.is_idle, self.waiting_since = False, trio.current_time()
+            while not messages or not messages[0].has_head:
+                if not await self._read_input():
+                    return False
+        self.is_idle = self.is_reading_head = False
+        return True
+
     async def _read_input(self) -> bool:
         reader = self.reader
         if reader.error is not None:
@@ -377,9 +403,6 @@
         if not data and not reader.unparsed:
             return False
         reader.add_input(data)
-        is_too_long = reader.head_bytes > self.server.limits.header_bytes
-        if is_too_long and not (reader.messages and reader.messages[0].has_head):
-            raise TooLargeError("the request head exceeds the limit")
         if reader.head_bytes or reader.unparsed or len(reader.messages) > 1:
             self._charge_input()
         # An eviction may have dropped the input.
@@ -417,18 +440,34 @@
         self.exchanges.append(exchange)
         self.server.add_exchange(exchange)
         if self._ahead is not None:
-            self._charge_ahead(exchange)
+            # Each request that is read ahead gives way apart from the others.
+            exchange.holding = self.server.account.open(exchange.evict)
+        else:
+            self._exchange = exchange
+        self._charge_request(exchange)
         return exchange
 
-    def _charge_ahead(self, exchange: Exchange) -> None:
-        """Counts a request that was read ahead, apart from the others."""
-        request = exchange.request
-        holding = exchange.holding = self.server.account.open(exchange.evict)
-        holding.is_settled = True
-        holding.charge(request.received_bytes + estimate_head(request))
+    def _charge_request(self, exchange: Exchange) -> None:
+        """Counts what has been received of a request, or refuses it."""
+        request, holding = exchange.request, exchange.holding
+        if request.head_cost > _LARGE_HEAD_BYTES and self.server.account.is_crowded:
+            exchange.evict()
+        else:
+            size = exchange.held_bytes
+            holding.is_settled = request.is_complete and size <= _SMALL_REQUEST_BYTES
+            holding.charge(size)
+        if exchange.is_cancelled:
+            exchange.on_deadline = functools.partial(
+                exchange.answer, 503, NO_MEMORY_HEADERS, b""
+            )
+        else:
+            holding.is_settled = request.is_complete
 
     async def _serve(self, request: Request) -> Exchange:
-        exchange = self._exchange = self.begin(request, self.cancel_scope)
+        exchange = self.begin(request, self.cancel_scope)
+        if exchange.is_cancelled:
+            # It was refused for lack of memory.
+            return exchange
         watcher = self.server.watcher
         if request.find(b"expect") is not None:
             await self._invite_body(exchange)
@@ -449,7 +488,9 @@
         """
         if exchange.request.is_complete:
             return
-        exchange.on_deadline = functools.partial(exchange.answer, 503, [], b"")
+        exchange.on_deadline = functools.partial(
+            exchange.answer, 503, NO_MEMORY_HEADERS, b""
+        )
         await exchange.wait_for_turn()
         await send_all(self.sock, b"HTTP/1.1 100 Continue\r\n\r\n")
         exchange.on_deadline = None
@@ -458,9 +499,9 @@
         """Serves a request that was read while others were in progress."""
         try:
             with exchange.cancel_scope:
-                if exchange.request.find(b"expect") is not None:
-                    await self._invite_body(exchange)
-                await self.server.handler(exchange)
+                # One that was refused for lack of memory must not be passed on.
+                if not exchange.is_cancelled:
+                    await self._handle_ahead(exchange)
         except Exception as error:
             log_failure(error)
         try:
@@ -469,6 +510,11 @@
             log_failure(error)
             self.abort()
 
+    async def _handle_ahead(self, exchange: Exchange) -> None:
+        if exchange.request.find(b"expect") is not None:
+            await self._invite_body(exchange)
+        await self.server.handler(exchange)
+
     async def _finish_cancelled(self, exchange: Exchange) -> None:
         if exchange.needs_late_response:
             await exchange.on_deadline()
@@ -512,6 +558,8 @@
         else:
             exchange.holding.close()
         self.server.exchanges.discard(exchange)
+        # A connection that stays open keeps its last request.
+        exchange.request.drop_content()
         # It refers to the exchange, which would stay as cyclic garbage.
         exchange.on_deadline = None
 
@@ -532,13 +580,13 @@
                 request.take_body()
             self.is_broken = not request.is_complete
 
-    async def _discard_requests_behind(self) -> None:
+    async def _discard_requests_behind(self, *, has_input: bool) -> None:
         """Discards requests behind the last response, which closes the connection.
 
         Closing a connection with unread data resets it, and the response could be
         lost.
         """
-        if self._ahead is not None or self.reader.has_input or peek(self.sock):
+        if self._ahead is not None or has_input or peek(self.sock):
             await self._discard_input()
 
     async def _discard_input(self) -> None:
--- a/src/coltsfootspar/relay/exchanges.py
+++ b/src/coltsfootspar/relay/exchanges.py
@@ -7,9 +7,15 @@
 import attrs
 import trio
 
+from coltsfootspar.calls import Outcome
 from coltsfootspar.logs import log_decision
 from coltsfootspar.memory import Holding
 from coltsfootspar.relay.ahead import HeldAnswer, Turn
+from coltsfootspar.relay.calls import (
+    ERROR_HEADER,
+    OUTCOME_HEADER,
+    RETRY_AFTER_HEADER,
+)
 from coltsfootspar.relay.messages import (
     LAST_CHUNK,
     Headers,
@@ -23,13 +29,17 @@
 if TYPE_CHECKING:
     from coltsfootspar.relay.connections import Connection
 
-__all__ = ["CLOSE_HEADERS", "Exchange", "Handler", "estimate_head"]
+__all__ = ["CLOSE_HEADERS", "NO_MEMORY_HEADERS", "Exchange", "Handler"]
 
 # Most bytes that are sent before the progress of the caller is noted.
 _SEND_PIECE_BYTES = 32_768
-# Memory of a header beside its bytes: objects, and entries of the two collections.
-_HEADER_BYTES = 320
 CLOSE_HEADERS: Headers = [(b"Connection", b"close")]
+# Headers of a refusal before a handler has begun.
+NO_MEMORY_HEADERS: Headers = [
+    (OUTCOME_HEADER, Outcome.NOT_RUN.encode()),
+    (ERROR_HEADER, b"no-memory"),
+    (RETRY_AFTER_HEADER, b"0.5"),
+]
 
 
 @attrs.define(eq=False)
@@ -82,9 +92,10 @@
 
     @property
     def held_bytes(self) -> int:
-        """Size of the body received and of the answer that waits for its turn."""
+        """Size of the request received and of the answer that waits for its turn."""
         answer_bytes = self.turn.answer_bytes if self.turn is not None else 0
-        return self.request.received_bytes + answer_bytes
+        request = self.request
+        return request.head_cost + request.received_bytes + answer_bytes
 
     async def wait_for_turn(self) -> None:
         """Waits until the earlier requests on the connection are answered.
@@ -110,8 +121,6 @@
         request, holding = self.request, self.holding
         if not request.is_complete:
             holding.is_settled = False
-            if not holding.held_bytes:
-                holding.charge(request.received_bytes + estimate_head(request))
         while not request.is_complete and request.received_bytes <= limit:
             if self.turn is not None:
                 await self._wait_for_room()
@@ -141,7 +150,7 @@
                 await self._wait_for_room()
             await self._connection.read_more(request)
         body = request.take_body()
-        holding.charge(len(body))
+        holding.charge(request.head_cost + len(body))
         return body
 
     async def _wait_for_room(self) -> None:
@@ -326,7 +335,7 @@
         requests on it.
         """
         log_decision("evicted", caller=self.caller_host)
-        self.request.body_parts.clear()
+        self.request.drop_content(keeps_values=True)
         if self.has_answered:
             self._connection.abort()
             return
@@ -342,8 +351,3 @@
 
 
 Handler = Callable[[Exchange], Awaitable[None]]
-
-
-def estimate_head(request: Request) -> int:
-    """Returns about the memory that the head of a request takes, bytes."""
-    return len(request.headers) * _HEADER_BYTES
--- a/src/coltsfootspar/relay/messages.py
+++ b/src/coltsfootspar/relay/messages.py
@@ -6,7 +6,7 @@
 import attrs
 import httptools
 
-from coltsfootspar.exceptions import MalformedRequestError
+from coltsfootspar.exceptions import MalformedRequestError, TooLargeError
 
 __all__ = [
     "Headers",
@@ -42,7 +42,17 @@
 # Most bytes of chunk sizes, chunk extensions, trailers or blank lines in a row. A peer
 # that sends more of them never reaches the end of its message.
 MAX_FRAMING_BYTES = 65_536
-MAX_HEADERS = 512
+MAX_RESPONSE_HEADERS = 512
+# Longest head of a request unless the connection sets another limit.
+MAX_HEAD_BYTES = 16_384
+# Memory of a message without headers, and of a header line beside its content: objects
+# and entries of the two collections.
+_MESSAGE_BYTES = 1_024
+_HEADER_BYTES = 320
+# Copies of a name and its value: as received, by lower-case name, and encoded again.
+_HEADER_COPIES = 3
+# Values that are kept of a request whose content was dropped, for its refusal.
+_MAX_KEPT_VALUES = 64
 # Shorter pieces of a body are joined, since each piece costs some dozen bytes more than
 # its content.
 _SHORT_PIECE_BYTES = 1_024
@@ -50,6 +60,8 @@
 # Requests of one connection that are parsed before the first of them is taken; further
 # input stays unparsed. A read may hold thousands of short ones.
 MAX_PARSED_REQUESTS = 16
+# Memory of parsed requests from which on further input stays unparsed.
+MAX_PARSED_BYTES = 262_144
 # Most input that is parsed at once: many heads fit into the first, and only the part
 # of a chunked body may be followed by more requests.
 _SLICE_BYTES = 2_048
@@ -65,6 +77,7 @@
     :param body_parts: pieces of the body that have not been consumed; joined short
         pieces are a ``bytearray``.
     :param received_bytes: size of the body received so far.
+    :param head_cost: about the memory that the head takes, bytes.
     :param has_head: true once the start line and all headers were received.
     """
 
@@ -72,6 +85,7 @@
     header_values: dict[bytes, bytes] = attrs.field(factory=dict)
     body_parts: list[bytes | bytearray] = attrs.field(factory=list)
     received_bytes: int = 0
+    head_cost: int = _MESSAGE_BYTES
     has_head: bool = False
     is_complete: bool = False
     keeps_connection: bool = True
@@ -89,6 +103,16 @@
         value = self.header_values.get(b"content-length")
         return int(value) if value is not None else None
 
+    def drop_content(self, *, keeps_values: bool = False) -> None:
+        """Frees the head and the part of the body received so far.
+
+        :param keeps_values: true to keep the values of a head with few headers.
+        """
+        self.body_parts.clear()
+        self.headers.clear()
+        if not keeps_values or len(self.header_values) > _MAX_KEPT_VALUES:
+            self.header_values.clear()
+
     def take_body(self) -> bytes:
         """Removes and returns the part of the body received so far."""
         body_parts, self.body_parts = self.body_parts, []
@@ -168,9 +192,8 @@
         if current.has_head:
             # A trailer, which must not replace a header.
             return
-        if len(current.headers) >= MAX_HEADERS:
-            raise MalformedRequestError("too many headers")
         current.headers.append((name, value))
+        current.head_cost += _HEADER_BYTES + _HEADER_COPIES * (len(name) + len(value))
         key = name.lower()
         if key == b"host" and key in current.header_values:
             raise MalformedRequestError("more than one Host header")
@@ -219,11 +242,13 @@
 
     :param unparsed: input behind the requests that have been parsed.
     :param error: fault in the input behind the requests that have been parsed.
+    :param max_head_bytes: longest head.
     """
 
     unparsed: bytes | memoryview = b""
-    error: MalformedRequestError | None = None
-    _parser: httptools.HttpRequestParser = attrs.field(init=False)
+    error: MalformedRequestError | TooLargeError | None = None
+    max_head_bytes: int = MAX_HEAD_BYTES
+    _parser: httptools.HttpRequestParser | None = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         self._parser = httptools.HttpRequestParser(self)
@@ -239,17 +264,40 @@
         unparsed = self.unparsed
         return len(unparsed.obj if isinstance(unparsed, memoryview) else unparsed)
 
+    @property
+    def held_bytes(self) -> int:
+        """About the memory of all that has been received and not been taken."""
+        size = self.unparsed_bytes + self.head_bytes + self.framing_bytes
+        for request in self.messages:
+            size += request.head_cost + request.received_bytes
+        return size
+
     def drop_input(self, *, keeps_first: bool) -> None:
         """Drops what has been received and not been taken; ends the parsing.
 
+        The body of a request that was taken before is still parsed.
+
         :param keeps_first: true to keep the first request when it is whole.
         """
         is_first_kept = keeps_first and self.messages and self.messages[0].is_complete
         first = [self.messages[0]] if is_first_kept else []
+        if self._current is None or self._current in self.messages:
+            self._end_parsing()
         self.messages.clear()
         self.messages.extend(first)
         self.unparsed = b""
 
+    def close(self) -> None:
+        """Drops all that is held; further input is ignored."""
+        self._end_parsing()
+        self.messages.clear()
+        self.unparsed, self.error = b"", None
+
+    def _end_parsing(self) -> None:
+        """Drops the message that has begun, with what the parser holds of it."""
+        self._current = self._parser = None
+        self.head_bytes = self.framing_bytes = 0
+
     def add_input(self, data: bytes) -> None:
         """Parses input until enough requests wait to be taken, and keeps the rest.
 
@@ -258,6 +306,8 @@
 
         :raises MalformedRequestError: when the request that was taken last is invalid.
         """
+        if self._parser is None:
+            return
         size = len(data)
         if self.unparsed or (size > _SLICE_BYTES and size > self._choose_slice()):
             self.unparsed = bytes(self.unparsed) + data if self.unparsed else data
@@ -265,25 +315,43 @@
             return
         try:
             self.feed(data)
-        except MalformedRequestError as error:
+        except (MalformedRequestError, TooLargeError) as error:
             self._keep_error(error)
 
+    def feed(self, data: bytes) -> None:
+        """Parses the next bytes of the connection.
+
+        :raises MalformedRequestError: when they are not valid HTTP/1.1, ask for an
+            upgrade, or hold too much framing without a body.
+        :raises TooLargeError: when a head exceeds the limit.
+        """
+        super().feed(data)
+        if self.head_bytes > self.max_head_bytes:
+            raise TooLargeError("the request head exceeds the limit")
+
     def _parse_slices(self) -> None:
         rest = memoryview(self.unparsed)
         while rest:
             size = self._choose_slice()
             try:
                 self.feed(rest[:size])
-            except MalformedRequestError as error:
+            except (MalformedRequestError, TooLargeError) as error:
                 self._keep_error(error)
                 rest = b""
                 break
             rest = rest[size:]
-            if len(self.messages) >= MAX_PARSED_REQUESTS:
+            if self._has_parsed_enough():
                 break
         # An empty view would keep the input that it refers to.
         self.unparsed = rest or b""
 
+    def _has_parsed_enough(self) -> bool:
+        messages = self.messages
+        if not messages or not messages[0].has_head:
+            return False
+        parsed_bytes = sum(message.head_cost for message in messages)
+        return len(messages) >= MAX_PARSED_REQUESTS or parsed_bytes >= MAX_PARSED_BYTES
+
     def _choose_slice(self) -> int:
         current = self._current
         if current is None or not current.has_head:
@@ -293,7 +361,7 @@
             return _CHUNKED_SLICE_BYTES
         return max(_SLICE_BYTES, length - current.received_bytes)
 
-    def _keep_error(self, error: MalformedRequestError) -> None:
+    def _keep_error(self, error: MalformedRequestError | TooLargeError) -> None:
         """Keeps a fault until the whole requests before it have been taken.
 
         :raises MalformedRequestError: when the request that was taken last is invalid.
@@ -303,7 +371,9 @@
             messages.pop()
         elif self._current is not None:
             raise error
-        self.error = error
+        # Its frames refer to the input.
+        self.error = error.with_traceback(None)
+        error.__cause__ = error.__context__ = None
 
     def on_message_begin(self) -> None:
         self._current = Request()
@@ -331,6 +401,12 @@
     def __attrs_post_init__(self) -> None:
         self._parser = httptools.HttpResponseParser(self)
 
+    def on_header(self, name: bytes, value: bytes) -> None:
+        current = self._current
+        if not current.has_head and len(current.headers) >= MAX_RESPONSE_HEADERS:
+            raise MalformedRequestError("too many headers")
+        super().on_header(name, value)
+
     def on_message_begin(self) -> None:
         self._current = Response()
         self.messages.append(self._current)
--- a/src/coltsfootspar/relay/tests/test_endless_bodies.py
+++ b/src/coltsfootspar/relay/tests/test_endless_bodies.py
@@ -6,12 +6,17 @@
 import pytest
 import trio
 
-from coltsfootspar.exceptions import MalformedRequestError
+from coltsfootspar.exceptions import MalformedRequestError, TooLargeError
 from coltsfootspar.relay import create_relay_server
 from coltsfootspar.relay.client import ClientConnection, OutgoingRequest
 from coltsfootspar.relay.connections import Connection
 from coltsfootspar.relay.exchanges import Exchange
-from coltsfootspar.relay.messages import MAX_HEADERS, RequestReader, ResponseReader
+from coltsfootspar.relay.messages import (
+    MAX_HEAD_BYTES,
+    MAX_RESPONSE_HEADERS,
+    RequestReader,
+    ResponseReader,
+)
 from coltsfootspar.routes import Repetition, RouteTable, Service
 from coltsfootspar.testing.ports import find_free_port
 from coltsfootspar.wire import Address
@@ -217,18 +222,55 @@
     assert body == b"xx" * 524_000 + b"end" + b"y" * 1_024
 
 
-@pytest.mark.parametrize("reader_type", [RequestReader, ResponseReader])
-def test_head_of_many_headers_is_refused(reader_type):
+def test_response_head_of_many_headers_is_refused():
     """Guards against a short head that takes megabytes once it is parsed."""
-    start = {
-        RequestReader: b"GET / HTTP/1.1\r\n",
-        ResponseReader: b"HTTP/1.1 200 OK\r\n",
-    }[reader_type]
-    reader = reader_type()
-    reader.feed(start + b"a:b\r\n" * (MAX_HEADERS - 1) + b"Host: a\r\n\r\n")
+    start = b"HTTP/1.1 200 OK\r\n"
+    reader = ResponseReader()
+    reader.feed(start + b"a:b\r\n" * (MAX_RESPONSE_HEADERS - 1) + b"Host: a\r\n\r\n")
     assert reader.messages[0].has_head
     with pytest.raises(MalformedRequestError):
-        reader_type().feed(start + b"a:b\r\n" * (MAX_HEADERS + 2))
+        ResponseReader().feed(start + b"a:b\r\n" * (MAX_RESPONSE_HEADERS + 2))
+
+
+@pytest.mark.parametrize("line", [b"a:\r\n", b"ab:\r\n", b"name: %s\r\n" % (b"v" * 60)])
+def test_head_within_its_bytes_is_read_and_counted(line):
+    """Guards against a limit on lines, and against lines that count as their bytes.
+
+    One whole head and the beginning of another must not take more than they count.
+    """
+    end = b"Host: a\r\n\r\n"
+    data = b"GET / HTTP/1.1\r\n" + line * ((MAX_HEAD_BYTES - 100) // len(line)) + end
+    tracemalloc.start()
+    try:
+        reader = RequestReader()
+        reader.add_input(data)
+        assert reader.messages[0].has_head
+        reader.add_input(data[: len(data) // 2])
+        used, _ = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert used <= reader.held_bytes
+
+
+def test_long_head_is_refused_however_it_arrives():
+    """Guards against a limit that holds only for a head in many pieces."""
+    data = b"GET / HTTP/1.1\r\n" + b"a:\r\n" * (MAX_HEAD_BYTES // 3) + b"\r\n"
+    reader = RequestReader()
+    reader.add_input(data)
+    assert not reader.messages
+    assert isinstance(reader.error, TooLargeError)
+
+
+def test_heads_ahead_are_parsed_within_bounds():
+    """Guards against a read of many heads that all are parsed at once."""
+    lines = b"".join(b"x%04x:\r\n" % number for number in range(1_800))
+    head = b"GET / HTTP/1.1\r\n" + lines + b"Host: a\r\n\r\n"
+    reader = RequestReader()
+    reader.add_input(head * 4)
+    assert [message.has_head for message in reader.messages] == [True, False]
+    assert reader.unparsed_bytes == len(head) * 4
+    reader.close()
+    assert reader.held_bytes == 0
 
 
 async def test_endless_bodies_at_other_listeners_are_bounded(harness):
--- a/src/coltsfootspar/relay/tests/test_requests_ahead.py
+++ b/src/coltsfootspar/relay/tests/test_requests_ahead.py
@@ -97,6 +97,13 @@
         return list_answers(received)
 
 
+def measure_head(data):
+    """Returns the memory that counts for the head of a request."""
+    reader = RequestReader()
+    reader.feed(data)
+    return reader.messages[0].head_cost
+
+
 @pytest.fixture
 async def ahead(harness):
     ahead = AheadHarness()
@@ -123,7 +130,10 @@
 
 @pytest.mark.parametrize(
     ("limits", "most"),
-    [(AheadLimits(requests=3), 3), (AheadLimits(held_bytes=5), 4)],
+    [
+        (AheadLimits(requests=3), 3),
+        (AheadLimits(held_bytes=3 * measure_head(encode("/1")) + 5), 4),
+    ],
     ids=["requests", "bytes"],
 )
 async def test_connection_holds_no_more_than_its_limits(harness, ahead, limits, most):
