Close connections without progress when no other can be accepted

When all places for accepted connections were taken by callers that stopped in a head or a body or left their answers unread, new connections were closed at once, those of ordinary callers and of readiness checks included, until the time limits of the requests had passed. A connection without progress for a second now makes room, as an idle one does: its request is refused, or it ends if its answer has begun.

--- a/src/coltsfootspar/memory/account.py
+++ b/src/coltsfootspar/memory/account.py
@@ -91,6 +91,10 @@
         self.release()
         self.evict = _do_nothing
 
+    def give_way(self) -> None:
+        """Releases everything, and refuses the request or closes the connection."""
+        self._account.evict(self)
+
     async def wait_for_room(self) -> None:
         """Waits while the process holds much; evicts itself if that lasts."""
         if self._account.is_crowded and self.held_bytes < _BEGUN_BYTES:
@@ -163,7 +167,7 @@
             victim = self._find_stalled(now) or self._find_youngest()
             if victim is None:
                 return
-            self._evict(victim)
+            self.evict(victim)
 
     def release(self, holding: Holding) -> None:
         """Empties a holding; see :meth:`Holding.release`."""
@@ -183,9 +187,9 @@
                 if stalled is None:
                     self._next_search_at = now + _WAIT_STEP_SECONDS
             if stalled is not None:
-                self._evict(stalled)
+                self.evict(stalled)
             elif now >= ends_at:
-                self._evict(holding)
+                self.evict(holding)
                 return
             else:
                 await trio.sleep(_WAIT_STEP_SECONDS)
@@ -202,7 +206,8 @@
         )
         return max(open_holdings, key=lambda holding: holding.since, default=None)
 
-    def _evict(self, holding: Holding) -> None:
+    def evict(self, holding: Holding) -> None:
+        """Lets a holding give way; see :meth:`Holding.give_way`."""
         self.release(holding)
         self.evictions += 1
         holding.evict()
--- a/src/coltsfootspar/memory/openings.py
+++ b/src/coltsfootspar/memory/openings.py
@@ -3,6 +3,7 @@
 from typing import Protocol
 
 import attrs
+import trio
 
 __all__ = ["ConnectionCount", "Openable"]
 
@@ -13,6 +14,8 @@
 # Share of the idle connections that are closed at once, so that a crowd of new ones
 # does not search for an idle one each time.
 _CLOSED_SHARE = 0.05
+# Connections above their share while those that make room are being closed.
+_CLOSING_SHARE = 0.02
 
 
 class Openable(Protocol):
@@ -31,6 +34,13 @@
         :returns: true when it is being closed.
         """
 
+    def close_stalled(self, now: float) -> bool:
+        """Closes the connection if its peer makes no progress with a request.
+
+        :param now: trio clock, seconds.
+        :returns: true when it is being closed.
+        """
+
 
 @attrs.define(eq=False)
 class ConnectionCount:
@@ -39,11 +49,14 @@
     :param descriptors: most open descriptors of the process.
     :param refused: connections closed at once for lack of room.
     :param closed_idle: idle connections closed to make room.
+    :param closed_stalled: connections closed to make room whose peers stopped in a
+        request or do not read their answers.
     """
 
     descriptors: int
     refused: int = 0
     closed_idle: int = 0
+    closed_stalled: int = 0
     _connections: set[Openable] = attrs.field(factory=set)
 
     def has_room(self, *, is_peer: bool) -> bool:
@@ -52,10 +65,15 @@
         :param is_peer: true for a connection of another process of the deployment.
         """
         share = _ACCEPTED_SHARE + (_PEER_SHARE if is_peer else 0.0)
-        if len(self._connections) < int(self.descriptors * share):
+        most = int(self.descriptors * share)
+        if len(self._connections) < most:
             return True
         if self._close_longest_idle():
             return True
+        # These end only once they have been answered.
+        most += int(self.descriptors * _CLOSING_SHARE)
+        if self._close_stalled() and len(self._connections) < most:
+            return True
         self.refused += 1
         return False
 
@@ -79,3 +97,15 @@
             closed += connection.close_idle()
         self.closed_idle += closed
         return closed
+
+    def _close_stalled(self) -> int:
+        """Closes some stalled connections and returns their number."""
+        now = trio.current_time()
+        wanted = 1 + int(len(self._connections) * _CLOSED_SHARE)
+        closed = 0
+        for connection in list(self._connections):
+            if closed == wanted:
+                break
+            closed += connection.close_stalled(now)
+        self.closed_stalled += closed
+        return closed
--- a/src/coltsfootspar/memory/tests/test_account.py
+++ b/src/coltsfootspar/memory/tests/test_account.py
@@ -123,8 +123,9 @@
 class Connection:
     """An accepted connection that records its end."""
 
-    def __init__(self, count, waiting_since, *, is_idle=True):
+    def __init__(self, count, waiting_since, *, is_idle=True, is_stalled=False):
         self.is_idle = is_idle
+        self.is_stalled = is_stalled
         self.waiting_since = waiting_since
         self.is_closed = False
         count.add(self)
@@ -133,6 +134,26 @@
         self.is_closed = True
         return True
 
+    def close_stalled(self, now):
+        self.is_closed = self.is_stalled
+        return self.is_stalled
+
+
+async def test_stalled_connection_makes_room():
+    """Guards against peers that stop in a request and shut all others out."""
+    count = ConnectionCount(descriptors=100)
+    connections = [
+        Connection(count, 0.0, is_idle=False, is_stalled=number == 30)
+        for number in range(50)
+    ]
+    assert count.has_room(is_peer=False)
+    assert [connection.is_closed for connection in connections].count(True) == 1
+    assert connections[30].is_closed
+    assert count.closed_stalled == 1
+    for _ in range(2):
+        Connection(count, 0.0, is_idle=False, is_stalled=True)
+    assert not count.has_room(is_peer=False)
+
 
 def test_longest_idle_connection_makes_room():
     count = ConnectionCount(descriptors=4)
@@ -142,7 +163,7 @@
     assert (busy.is_closed, idle.is_closed) == (False, True)
 
 
-def test_room_is_kept_for_peers():
+async def test_room_is_kept_for_peers():
     """Guards against callers that cut a node off from the other nodes."""
     count = ConnectionCount(descriptors=10)
     for _ in range(5):
--- a/src/coltsfootspar/relay/connections.py
+++ b/src/coltsfootspar/relay/connections.py
@@ -41,6 +41,8 @@
 _SMALL_REQUEST_BYTES = 8_192
 # A head that takes more is refused while the process holds much.
 _LARGE_HEAD_BYTES = 65_536
+# Time after which an incomplete head counts as stalled.
+_STALLED_HEAD_SECONDS = 1.0
 
 
 class ConnectionOwner(Protocol):
@@ -189,6 +191,30 @@
         self._end()
         return True
 
+    def close_stalled(self, now: float) -> bool:
+        """Closes the connection if its peer makes no progress with a request.
+
+        The request is refused; one of which an answer is not read ends without.
+
+        :param now: trio clock, seconds.
+        :returns: true when it is being closed.
+        """
+        if self.is_broken or self.cancel_scope.cancel_called:
+            return False
+        if self.is_reading_head and not self.is_idle:
+            if now - self.waiting_since <= _STALLED_HEAD_SECONDS:
+                return False
+            self.is_head_timed_out = True
+            self._end()
+            return True
+        for exchange in self.exchanges:
+            holding = exchange.holding
+            is_held = holding.held_bytes and not exchange.is_cancelled
+            if is_held and holding.is_stalled(now):
+                holding.give_way()
+                return True
+        return False
+
     @property
     def has_unread_input(self) -> bool:
         """True when a request has arrived that its task has not begun to read."""
