Refuse documents that decode to more memory than the process has

Operators got no answer from a replica that ran out of memory: a body of 4 MB, within the limit, that consists of empty lists decodes to 100 MB and more, and each of a crowd of them was decoded. 20 such callers brought a replica to 194.8 MB and the control address of a node to 190.8 MB, bound 100 MB.

The memory of the decoded document is estimated from its bytes before it is decoded, counts until the answer, and is refused with 413 when the process never has as much.

test_crowd_of_dense_json_leaves_the_process_alive failed before at both addresses and passes.

--- a/src/coltsfootspar/fleet/control.py
+++ b/src/coltsfootspar/fleet/control.py
@@ -11,6 +11,7 @@
     NoQuorumError,
     ReplicationError,
 )
+from coltsfootspar.fleet.decoding import estimate_decoded_bytes
 from coltsfootspar.fleet.departures import DepartureRecorder
 from coltsfootspar.fleet.interfaces import (
     BackendDeparture,
@@ -28,7 +29,7 @@
 __all__ = ["ControlHandler", "NodeControl", "ReplicaControl", "create_control_handler"]
 
 # A replica stores the fields of a route table beside the document itself.
-_MAX_BODY_BYTES = MAX_COMMAND_BYTES // 2
+MAX_BODY_BYTES = MAX_COMMAND_BYTES // 2
 PROPOSAL_TIMEOUT_SECONDS = 2.5
 READ_TIMEOUT_SECONDS = 1.5
 _JSON_HEADERS = [(b"Content-Type", b"application/json")]
@@ -59,15 +60,21 @@
     async def handle(self, exchange: Exchange) -> None:
         """Responds to one request."""
         exchange.set_deadline(math.inf, lambda: self._respond_stopping(exchange))
-        await exchange.buffer_body(_MAX_BODY_BYTES)
+        await exchange.buffer_body(MAX_BODY_BYTES)
         request = exchange.request
         target = request.target.decode("latin-1")
         if not request.is_complete:
             log_decision("control-too-large", target=target)
             await self._answer(exchange, create_error_response(413, "body too large"))
             return
+        body = request.take_body()
+        if not await exchange.reserve(estimate_decoded_bytes(body)):
+            log_decision("control-too-dense", target=target)
+            text = "body takes too much memory once it is decoded"
+            await self._answer(exchange, create_error_response(413, text))
+            return
         try:
-            decoded = self._adapter.decode_control(target, request.take_body())
+            decoded = self._adapter.decode_control(target, body)
         except MalformedRequestError as error:
             log_decision("control-malformed", target=target, error=str(error))
             response = create_error_response(400, str(error))
--- a/src/coltsfootspar/relay/exchanges.py
+++ b/src/coltsfootspar/relay/exchanges.py
@@ -135,6 +135,24 @@
             await trio.lowlevel.checkpoint()
         holding.is_settled = request.is_complete
 
+    async def reserve(self, size: int) -> bool:
+        """Counts memory that it takes to serve the request, until it is answered.
+
+        Is cancelled when the request has to give way to others.
+
+        :param size: bytes.
+        :returns: false when the process never has this much.
+        """
+        account, holding = self._connection.server.account, self.holding
+        if size > account.budget_bytes:
+            return False
+        holding.is_settled = False
+        holding.charge(size)
+        if self.is_cancelled:
+            await trio.lowlevel.checkpoint()
+        holding.is_settled = True
+        return True
+
     async def read_body(self) -> bytes:
         """Reads the next piece of the body; empty at its end.
 
