Release the slot of a whole answer before it is sent; end answers nobody reads

A caller that read nothing kept the slot of the backend server, and with it everybody else's, although the node had the whole answer; and an answer that was not read at all stayed for ever, with its connection and, if it was streamed, its server.

A whole answer now releases slot and connection before it is delivered. A response of which the caller reads nothing for the time that a connection may be idle (idleTimeoutS of the routes, 15 s) ends with its connection; a caller that may not stay idle for longer never meets it.

--- a/src/coltsfootspar/relay/exchanges.py
+++ b/src/coltsfootspar/relay/exchanges.py
@@ -8,6 +8,7 @@
 import trio
 
 from coltsfootspar.calls import Outcome
+from coltsfootspar.exceptions import TransferError
 from coltsfootspar.logs import log_decision
 from coltsfootspar.memory import Holding
 from coltsfootspar.relay.ahead import HeldAnswer, Turn
@@ -243,12 +244,12 @@
         connection = self._connection
         connection.is_broken = True
         head = encode_response(response.status, headers, None, response.reason)
-        await send_all(connection.sock, head)
+        await self._send(head)
         while data := start or await read():
             start = b""
             await self._send(data if length else encode_chunk(data))
         if length is None:
-            await send_all(connection.sock, LAST_CHUNK)
+            await self._send(LAST_CHUNK)
         connection.is_broken = False
 
     async def _read_until_turn(
@@ -301,12 +302,25 @@
         holding.restart(trio.current_time())
         holding.charge(len(data))
         while rest:
-            await send_all(sock, rest[:_SEND_PIECE_BYTES])
+            await self._send_piece(rest[:_SEND_PIECE_BYTES])
             holding.record_progress(_SEND_PIECE_BYTES, trio.current_time())
             rest = rest[_SEND_PIECE_BYTES:]
         holding.discharge(len(data))
         holding.is_settled = was_settled
 
+    async def _send_piece(self, piece: memoryview) -> None:
+        """Sends a piece of a response to a caller that reads slowly.
+
+        :raises TransferError: when the caller has disconnected, or reads nothing for
+            the time that a connection may be idle.
+        """
+        connection = self._connection
+        with trio.move_on_after(connection.server.limits.idle_seconds) as scope:
+            await send_all(connection.sock, piece)
+        if scope.cancelled_caught:
+            text = "the caller does not read the response"
+            raise TransferError(text, may_have_run=True, code="unread")
+
     def _keeps_connection(self) -> bool:
         """Decides whether the connection stays open after this response.
 
--- a/src/coltsfootspar/relay/forwarding.py
+++ b/src/coltsfootspar/relay/forwarding.py
@@ -54,7 +54,7 @@
 from coltsfootspar.relay.nesting import Origin, OriginClassifier
 from coltsfootspar.relay.outgoing import create_outgoing_call, encode_outgoing_call
 from coltsfootspar.relay.placement import Placement
-from coltsfootspar.relay.receiving import send_reply
+from coltsfootspar.relay.receiving import release_reply, send_reply
 from coltsfootspar.relay.retries import RetryBudget
 from coltsfootspar.relay.roomsignals import decode_signals
 from coltsfootspar.relay.running import RunningCall
@@ -393,7 +393,7 @@
         parent = self._backend.running.find_parent(outgoing.request_id)
         if parent is not None:
             parent.record_nested(outgoing.call.service, reply.reached)
-        try:
+        with release_reply(reply):
             if not self._is_final(route, outgoing, state, reply):
                 return True
             exchange.clear_deadline()
@@ -405,8 +405,6 @@
                 self.counters.observe_seconds(elapsed)
                 await send_reply(exchange, reply, reply.headers)
             return False
-        finally:
-            reply.finish()
 
     def _limit_streaming(self, exchange: Exchange) -> None:
         """Breaks off a body that has not ended soon after its caller's deadline.
--- a/src/coltsfootspar/relay/receiving.py
+++ b/src/coltsfootspar/relay/receiving.py
@@ -1,6 +1,8 @@
 """Inbound calls from other nodes, served by the local backend server."""
 
+import contextlib
 import math
+from collections.abc import Iterator
 
 import attrs
 import trio
@@ -30,7 +32,7 @@
 from coltsfootspar.relay.messages import Headers, Response
 from coltsfootspar.relay.outgoing import create_outgoing_call
 
-__all__ = ["CallReceiver", "send_reply"]
+__all__ = ["CallReceiver", "release_reply", "send_reply"]
 
 # How long after the deadline the response of the backend server may still arrive.
 BACKEND_GRACE_SECONDS = 0.05
@@ -73,10 +75,8 @@
         )
         reply = await self._backend.send(outgoing)
         exchange.clear_deadline()
-        try:
+        with release_reply(reply):
             await self._respond(exchange, reply)
-        finally:
-            reply.finish()
 
     async def _respond_late(self, exchange: Exchange, outgoing: OutgoingCall) -> None:
         """Responds to a call whose deadline has passed or that the node's stop ends."""
@@ -105,6 +105,22 @@
         await send_reply(exchange, reply, headers)
 
 
+@contextlib.contextmanager
+def release_reply(reply: Reply) -> Iterator[None]:
+    """Releases the slot and the connection of a reply once its body has been read.
+
+    A caller that does not read a whole body takes no slot meanwhile.
+    """
+    if reply.read is None:
+        reply.finish()
+        yield
+        return
+    try:
+        yield
+    finally:
+        reply.finish()
+
+
 async def send_reply(exchange: Exchange, reply: Reply, headers: Headers) -> None:
     """Sends a reply to the caller, streaming a body that is not complete yet.
 
