Bound the connections of a replica below its descriptors

600 peers without the key and 600 operators that sent nothing took 1,122 descriptors of a replica with 1,000 in its settings: peers could open 2,048 connections whatever the host allows. The replica then could not open the files of its log.

Connections of peers take at most 0.3 of the descriptors (1,228 of 4,096; the others have 0.5). When that is full, the oldest peer that has not proved the key is closed for a new one, so that a crowd of them does not shut out nodes.

--- a/src/coltsfootspar/fleet/replica.py
+++ b/src/coltsfootspar/fleet/replica.py
@@ -87,6 +87,9 @@
 _REPLICA_OPTIONS = ReplicaOptions(
     heartbeat_interval=0.2, min_election_timeout=0.6, max_election_timeout=1.2
 )
+# Share of the descriptors for connections of nodes and other replicas. Operators may
+# take half of them; the rest is for the disk and for connections to others.
+_PEER_SHARE = 0.3
 _IDENTITY_FILE_NAME = "identity"
 
 
@@ -484,6 +487,7 @@
             identity,
             _reject_call,
             message_handler=handle_message,
+            max_connections=int(self.settings.limits.descriptors * _PEER_SHARE),
             task_status=task_status,
         )
 
--- a/src/coltsfootspar/routing/listeners.py
+++ b/src/coltsfootspar/routing/listeners.py
@@ -54,6 +54,8 @@
     _count_error: ErrorCounter
     _open_count: int = 0
     _connections: set[Connection] = attrs.field(factory=set)
+    # Scopes of the handshakes in progress, oldest first.
+    _handshakes: dict[trio.CancelScope, None] = attrs.field(factory=dict)
 
     @property
     def in_progress(self) -> int:
@@ -74,9 +76,11 @@
     async def accept(self, stream: trio.SocketStream) -> None:
         """Serves an accepted stream until it ends.
 
-        Closes it at once when too many connections are open.
+        When too many connections are open, closes the oldest one whose peer has not
+        proved the key; if there is none, the new one.
         """
-        if self._open_count >= self._max_connections:
+        is_full = self._open_count >= self._max_connections
+        if is_full and not self._cancel_oldest_handshake():
             logging.warning(
                 "Connection refused: %d connections are open", self._open_count
             )
@@ -97,17 +101,28 @@
             with trio.CancelScope(shield=True):
                 await trio.aclose_forcefully(stream)
 
+    def _cancel_oldest_handshake(self) -> bool:
+        """Makes room for a connection; returns false when no handshake is open."""
+        scope = next(iter(self._handshakes), None)
+        if scope is None:
+            return False
+        del self._handshakes[scope]
+        scope.cancel()
+        return True
+
     async def _serve(self, stream: trio.abc.Stream) -> None:
         if self._ssl_context is not None:
             stream = trio.SSLStream(stream, self._ssl_context, server_side=True)
-        connection = await create_connection(
-            stream,
-            self._identity,
-            is_dialer=False,
-            handler=self._handle,
-            notice_handler=self._handle_notice,
-            limits=self._limits,
-        )
+        scope = trio.CancelScope()
+        self._handshakes[scope] = None
+        try:
+            with scope:
+                connection = await self._shake_hands(stream)
+        finally:
+            self._handshakes.pop(scope, None)
+        if scope.cancelled_caught:
+            self._count_error("too-many-connections")
+            return
         self._connections.add(connection)
         try:
             await connection.run()
@@ -116,6 +131,16 @@
             if connection.failure is not None:
                 self._count_error(connection.failure.code)
 
+    async def _shake_hands(self, stream: trio.abc.Stream) -> Connection:
+        return await create_connection(
+            stream,
+            self._identity,
+            is_dialer=False,
+            handler=self._handle,
+            notice_handler=self._handle_notice,
+            limits=self._limits,
+        )
+
     async def _handle(self, message: Message, peer: Peer) -> Message:
         if message.kind is FrameKind.CALL:
             return encode_reply(await self._call_handler(decode_call(message)))
--- a/src/coltsfootspar/routing/tests/test_links.py
+++ b/src/coltsfootspar/routing/tests/test_links.py
@@ -207,6 +207,20 @@
         assert not caught.value.may_have_run
 
 
+async def test_unfinished_handshake_makes_room():
+    """Guards against peers without the key that shut the others out."""
+    async with open_server(max_connections=2) as server:
+        address = server.address
+        async with await trio.open_tcp_stream(address.host, address.port) as silent:
+            async with await trio.open_tcp_stream(address.host, address.port):
+                await trio.testing.wait_all_tasks_blocked(0.01)
+                async with open_links({"b": address}) as links:
+                    reply = await links.call("b", create_request())
+                    assert reply.status == 200
+                await silent.receive_some()
+                assert not await silent.receive_some()
+
+
 async def test_idle_connection_is_closed_and_opened_again(autojump_clock):
     async with open_connected_links(idle_timeout=30) as (links, _, dialer):
         for dials in (1, 2):
