Settle a streamed request once its body has been read

Found in the reading of the change: since the head of a request counts until its answer, a request whose long body had been passed on counted as stalled while its server was at work, and could be ended in favour of others. test_streamed_request_that_waits_for_its_server_stays failed before and passes. The connections closed for lack of progress have a metric.

--- a/src/coltsfootspar/fleet/metrics.py
+++ b/src/coltsfootspar/fleet/metrics.py
@@ -114,4 +114,9 @@
             "Idle connections closed for lack of descriptors.",
             lambda: count.closed_idle,
         ),
+        (
+            "stalled_connections_closed",
+            "Connections without progress closed for lack of descriptors.",
+            lambda: count.closed_stalled,
+        ),
     )
--- a/src/coltsfootspar/relay/exchanges.py
+++ b/src/coltsfootspar/relay/exchanges.py
@@ -170,6 +170,8 @@
             await self._connection.read_more(request)
         body = request.take_body()
         holding.charge(request.head_cost + len(body))
+        # From its end on, the request waits for its server and not for its caller.
+        holding.is_settled = request.is_complete
         return body
 
     async def _wait_for_room(self) -> None:
--- a/src/coltsfootspar/relay/tests/test_evictions.py
+++ b/src/coltsfootspar/relay/tests/test_evictions.py
@@ -52,3 +52,34 @@
         await stream.send_all(request[-50:])
         assert (await stream.receive_some()).startswith(b"HTTP/1.1 200 ")
         assert outbound.account.held_bytes == 0
+
+
+async def test_streamed_request_that_waits_for_its_server_stays(harness):
+    """Guards against a request that is ended for a server's time, not its caller's."""
+    arrived, release = trio.Event(), trio.Event()
+
+    async def respond(stream, head):
+        while await stream.receive_some() and not head_ends(outbound):
+            pass
+        arrived.set()
+        await release.wait()
+        await stream.send_all(OK)
+
+    def head_ends(outbound):
+        return all(exchange.request.is_complete for exchange in outbound.exchanges)
+
+    server = await harness.add_server(respond)
+    await harness.add_node("n1", server.address)
+    _, outbound, address = await harness.add_entry_node()
+    body = bytes(2 << 20)
+    async with await trio.open_tcp_stream(address.host, address.port) as stream:
+        harness.nursery.start_soon(stream.send_all, encode_post(body))
+        with trio.fail_after(20):
+            await arrived.wait()
+        await trio.sleep(1.1)
+        (exchange,) = outbound.exchanges
+        assert exchange.holding.held_bytes > 0
+        assert not exchange.holding.is_stalled(trio.current_time())
+        release.set()
+        with trio.fail_after(20):
+            assert (await stream.receive_some()).startswith(b"HTTP/1.1 200 ")
