Tell slow callers from those that read nothing, and free slots of the latter

Progress is now what the peer's system has taken, asked for twice a second while a response is blocked.

A crowd of callers that ask for long answers and read none held all slots of a server until their deadlines, and ordinary callers got 503 meanwhile. A response of which nothing is read for 3 s, while other requests wait for its server, is broken off, as servers do.

--- a/src/coltsfootspar/fleet/node.py
+++ b/src/coltsfootspar/fleet/node.py
@@ -465,6 +465,8 @@
         ),
         announce=announcer.announce,
     )
+    for server in (node.outbound, node.inbound):
+        server.has_waiting = lambda: backend.limiter.load.waiting > 0
     _add_metrics(fleet_metrics, node)
     add_memory_metrics(fleet_metrics, account, count)
     add_capacity_metrics(fleet_metrics, backend.limiter)
--- a/src/coltsfootspar/relay/exchanges.py
+++ b/src/coltsfootspar/relay/exchanges.py
@@ -25,7 +25,7 @@
     encode_chunk,
     encode_response,
 )
-from coltsfootspar.relay.sockets import send_all, send_some
+from coltsfootspar.relay.sockets import count_unread, send_some
 
 if TYPE_CHECKING:
     from coltsfootspar.relay.connections import Connection
@@ -34,6 +34,8 @@
 
 # Most bytes that are sent before the progress of the caller is noted.
 _SEND_PIECE_BYTES = 32_768
+# Interval at which the progress of a caller that reads slowly is asked for.
+_READ_CHECK_SECONDS = 0.5
 CLOSE_HEADERS: Headers = [(b"Connection", b"close")]
 # Headers of a refusal before a handler has begun.
 NO_MEMORY_HEADERS: Headers = [
@@ -55,6 +57,8 @@
     :param deadline: trio clock, seconds.
     :param on_deadline: sends the response when the deadline ends the handler.
     :param sent_to: ids of the nodes and backend servers that the request was sent to.
+    :param unread_since: when the caller was last seen to read, while the system takes
+        no more of the response, trio clock, seconds.
     :param turn: its turn to be answered; None when no request was before it on the
         connection.
     :param cancel_reason: error code of a refusal after :meth:`cancel`.
@@ -70,6 +74,7 @@
     deadline: float = math.inf
     on_deadline: Callable[[], Awaitable[None]] | None = None
     sent_to: set[str] = attrs.field(factory=set)
+    unread_since: float = math.inf
     turn: Turn | None = None
     cancel_reason: str = "stopping"
     cancel_scope: trio.CancelScope = attrs.field(
@@ -304,24 +309,35 @@
         holding.restart(trio.current_time())
         holding.charge(len(data))
         while rest:
-            await self._send_piece(rest[:_SEND_PIECE_BYTES])
-            holding.record_progress(_SEND_PIECE_BYTES, trio.current_time())
-            rest = rest[_SEND_PIECE_BYTES:]
+            await self._wait_until_read()
+            sent = send_some(sock, rest[:_SEND_PIECE_BYTES])
+            holding.record_progress(sent, trio.current_time())
+            rest = rest[sent:]
         holding.discharge(len(data))
         holding.is_settled = was_settled
 
-    async def _send_piece(self, piece: memoryview) -> None:
-        """Sends a piece of a response to a caller that reads slowly.
+    async def _wait_until_read(self) -> None:
+        """Waits until the system takes more of a response.
 
-        :raises TransferError: when the caller has disconnected, or reads nothing for
-            the time that a connection may be idle.
+        It does so only after a large part of what it holds has been read, so the
+        progress of a slow caller is asked for.
+
+        :raises TransferError: when the caller reads nothing for the time that a
+            connection may be idle.
         """
-        connection = self._connection
-        with trio.move_on_after(connection.server.limits.idle_seconds) as scope:
-            await send_all(connection.sock, piece)
-        if scope.cancelled_caught:
-            text = "the caller does not read the response"
-            raise TransferError(text, may_have_run=True, code="unread")
+        sock, limits = self._connection.sock, self._connection.server.limits
+        self.unread_since, unread = trio.current_time(), count_unread(sock)
+        while True:
+            with trio.move_on_after(min(_READ_CHECK_SECONDS, limits.idle_seconds)):
+                await trio.lowlevel.wait_writable(sock)
+                break
+            now, before, unread = trio.current_time(), unread, count_unread(sock)
+            if unread < before or not unread:
+                self.unread_since = now
+            elif now - self.unread_since >= limits.idle_seconds:
+                text = "the caller does not read the response"
+                raise TransferError(text, may_have_run=True, code="unread")
+        self.unread_since = math.inf
 
     def _keeps_connection(self) -> bool:
         """Decides whether the connection stays open after this response.
--- a/src/coltsfootspar/relay/server.py
+++ b/src/coltsfootspar/relay/server.py
@@ -2,12 +2,13 @@
 
 import contextlib
 import socket
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 import attrs
 import trio
 from absl import logging
 
+from coltsfootspar.logs import log_decision
 from coltsfootspar.memory import (
     ConnectionCount,
     MemoryAccount,
@@ -32,6 +33,9 @@
 # incomplete heads have time limits then.
 IDLE_CHECK_INTERVAL_SECONDS = 0.5
 _FINAL_RESPONSES_SECONDS = 0.1
+# While others wait for the server, a response of which nothing is read for this time
+# is broken off.
+_UNREAD_SECONDS = 3.0
 
 
 @attrs.define(eq=False)
@@ -50,6 +54,8 @@
     :param account: memory held for the connections of the process.
     :param count: accepted connections of the process.
     :param is_for_peers: true when other nodes connect here.
+    :param has_waiting: tells whether requests wait for the slots that responses hold.
+    :param unread_seconds: longest time, while any wait, without progress in a response.
     """
 
     handler: Handler
@@ -65,6 +71,8 @@
         factory=lambda: ConnectionCount(MemoryLimits().descriptors)
     )
     is_for_peers: bool = False
+    has_waiting: Callable[[], bool] = lambda: False
+    unread_seconds: float = _UNREAD_SECONDS
     _connections: set[Connection] = attrs.field(factory=set)
     _has_work: trio.Event = attrs.field(factory=trio.Event)
 
@@ -194,12 +202,25 @@
             await self._wait_for_check()
             self._cancel_disconnected()
             now = trio.current_time()
+            self._abort_unread(now)
             for exchange in self.exchanges:
                 if now >= exchange.deadline:
                     exchange.cancel()
             for connection in self._connections:
                 connection.enforce_read_timeouts(now)
 
+    def _abort_unread(self, now: float) -> None:
+        """Breaks off responses that keep others waiting and are not read."""
+        latest = now - self.unread_seconds
+        unread = [
+            exchange for exchange in self.exchanges if exchange.unread_since <= latest
+        ]
+        if not unread or not self.has_waiting():
+            return
+        for exchange in unread:
+            log_decision("response-unread", caller=exchange.caller_host)
+            exchange.connection.abort()
+
     def _cancel_disconnected(self) -> None:
         """Cancels the exchanges whose callers have disconnected."""
         connections = {
--- a/src/coltsfootspar/relay/sockets.py
+++ b/src/coltsfootspar/relay/sockets.py
@@ -5,8 +5,11 @@
 """
 
 import errno
+import fcntl
 import select
 import socket
+import struct
+import termios
 from collections.abc import Iterable
 
 import trio
@@ -18,6 +21,7 @@
 __all__ = [
     "accept",
     "connect",
+    "count_unread",
     "find_closed",
     "find_readable",
     "is_refusing",
@@ -189,6 +193,18 @@
         raise TransferError(str(error), may_have_run=True, code="reset") from error
 
 
+def count_unread(sock: socket.socket) -> int:
+    """Returns the bytes that were sent and that the peer's system has not taken.
+
+    :returns: 0 when there are none, or the system does not tell.
+    """
+    try:
+        value = fcntl.ioctl(sock, termios.TIOCOUTQ, bytes(4))
+    except OSError:
+        return 0
+    return struct.unpack("i", value)[0]
+
+
 def peek(sock: socket.socket) -> bytes | None:
     """Returns the next byte without consuming it.
 
--- a/src/coltsfootspar/relay/tests/test_slow_readers.py
+++ b/src/coltsfootspar/relay/tests/test_slow_readers.py
@@ -16,6 +16,9 @@
 ANSWERS = 80
 IDLE_SECONDS = 0.5
 BLOCKED_SECONDS = 0.3
+# A slow caller reads less in the idle time than lets the system take more.
+READS = 6
+READ_BYTES = 131_072
 
 
 def encode_kept(path: str) -> bytes:
@@ -72,6 +75,37 @@
     assert outbound.account.held_bytes == 0
 
 
+async def test_unread_response_ends_while_others_wait(harness):
+    """Guards against callers that hold the slots of a server with long answers."""
+    backend, outbound, address = await add_path(harness)
+    outbound.limits = ClientLimits()
+    outbound.unread_seconds = 0.5
+    outbound.has_waiting = lambda: backend.limiter.load.waiting > 0
+    async with await trio.open_tcp_stream(address.host, address.port) as stream:
+        await stream.send_all(encode_kept("/views/long"))
+        await wait_until_blocked(outbound)
+        await trio.sleep(2 * outbound.unread_seconds)
+        assert backend.limiter.in_use == 1
+        answer = await send_and_read(address, encode_get())
+        assert answer.startswith(b"HTTP/1.1 200 ")
+
+
+async def test_answer_that_is_read_slowly_goes_on(harness):
+    """Guards against a slow caller that counts as one that does not read."""
+    _, outbound, address = await add_path(harness)
+    async with await trio.open_tcp_stream(address.host, address.port) as stream:
+        await stream.send_all(encode_kept("/views/long"))
+        await wait_until_blocked(outbound)
+        received = 0
+        for _ in range(READS):
+            received += len(await stream.receive_some(READ_BYTES))
+            await trio.sleep(IDLE_SECONDS / 2)
+        while received < LONG_ANSWER_BYTES:
+            piece = await stream.receive_some()
+            assert piece
+            received += len(piece)
+
+
 async def send_quietly(stream: trio.SocketStream, data: bytes) -> None:
     with contextlib.suppress(trio.BrokenResourceError, trio.ClosedResourceError):
         await stream.send_all(data)
