Count the target of a request, and test odd heads in calm on the product's node

A target of 15 kB counted for nothing, and an idle connection kept it. test_head_within_its_bytes_is_read_and_counted[target] failed before and passes.

--- a/src/coltsfootspar/node/tests/test_crowds.py
+++ b/src/coltsfootspar/node/tests/test_crowds.py
@@ -18,7 +18,12 @@
     read_peak_memory,
     send_ordinary,
 )
-from coltsfootspar.testing.oddcrowds import OddCrowd, OddKind
+from coltsfootspar.testing.oddcrowds import (
+    LineShape,
+    OddCrowd,
+    OddKind,
+    create_lines,
+)
 from coltsfootspar.wire import parse_address
 
 _LOCK = pathlib.Path(tempfile.gettempdir()) / "coltsfootspar-crowds.lock"
@@ -86,6 +91,16 @@
     await _press(deployment, OddCrowd((kind,), _HEAD, large, ODD_CLIENTS))
 
 
+@pytest.mark.crowd
+async def test_head_of_many_lines_is_served_in_calm(deployment):
+    """Guards against a limit on lines that heads within the limit on bytes meet."""
+    address = parse_address(deployment.inbound[_HOST.node_id])
+    for shape in LineShape:
+        data = _HEAD + create_lines(shape) + b"Connection: close\r\n"
+        answer = await send_ordinary(address, data + b"Content-Length: 0\r\n\r\n")
+        assert b" 200 " in answer[:20], (shape, answer[:200])
+
+
 async def _press(deployment, crowd: Crowd | OddCrowd) -> None:
     """Lets a crowd press, and checks the process and an ordinary request."""
     address = parse_address(deployment.inbound[_HOST.node_id])
--- a/src/coltsfootspar/relay/messages.py
+++ b/src/coltsfootspar/relay/messages.py
@@ -146,6 +146,11 @@
     target: bytes = b""
     arrived_at: float = 0.0
 
+    def drop_content(self, *, keeps_values: bool = False) -> None:
+        """Frees the head and the part of the body; see :class:`_Message`."""
+        super().drop_content(keeps_values=keeps_values)
+        self.target = b""
+
     @property
     def has_body(self) -> bool:
         """True when the headers announce a body, even an empty one."""
@@ -381,6 +386,7 @@
 
     def on_url(self, url: bytes) -> None:
         self._current.target += url
+        self._current.head_cost += _HEADER_COPIES * len(url)
 
     def on_headers_complete(self) -> None:
         current = self._current
--- a/src/coltsfootspar/relay/tests/test_endless_bodies.py
+++ b/src/coltsfootspar/relay/tests/test_endless_bodies.py
@@ -232,14 +232,24 @@
         ResponseReader().feed(start + b"a:b\r\n" * (MAX_RESPONSE_HEADERS + 2))
 
 
-@pytest.mark.parametrize("line", [b"a:\r\n", b"ab:\r\n", b"name: %s\r\n" % (b"v" * 60)])
-def test_head_within_its_bytes_is_read_and_counted(line):
+@pytest.mark.parametrize(
+    ("target", "line"),
+    [
+        (b"/", b"a:\r\n"),
+        (b"/", b"ab:\r\n"),
+        (b"/", b"name: %s\r\n" % (b"v" * 60)),
+        (b"/" * 15_000, b"name: v\r\n"),
+    ],
+    ids=["tiny", "short", "ordinary", "target"],
+)
+def test_head_within_its_bytes_is_read_and_counted(target, line):
     """Guards against a limit on lines, and against lines that count as their bytes.
 
     One whole head and the beginning of another must not take more than they count.
     """
     end = b"Host: a\r\n\r\n"
-    data = b"GET / HTTP/1.1\r\n" + line * ((MAX_HEAD_BYTES - 100) // len(line)) + end
+    start = b"GET %s HTTP/1.1\r\n" % target
+    data = start + line * ((MAX_HEAD_BYTES - 100 - len(start)) // len(line)) + end
     tracemalloc.start()
     try:
         reader = RequestReader()
@@ -250,6 +260,10 @@
     finally:
         tracemalloc.stop()
     assert used <= reader.held_bytes
+    counted = reader.messages[0].head_cost
+    assert counted >= len(target) + 3 * data.count(line)
+    reader.messages[0].drop_content()
+    assert reader.messages[0].target == b""
 
 
 def test_long_head_is_refused_however_it_arrives():
