--- a/src/coltsfootspar/conftest.py
+++ b/src/coltsfootspar/conftest.py
@@ -32,12 +32,11 @@
 
 
 def list_known_red():
-    """Lists the names of the entries in KNOWN-RED.txt, each up to a semicolon."""
+    """Lists the names of the entries in KNOWN-RED.txt."""
     if not _KNOWN_RED.exists():
         return []
     lines = _KNOWN_RED.read_text().splitlines()
-    entries = [line for line in lines if "entry: " in line]
-    return [line.removeprefix("entry: ").partition(";")[0] for line in entries]
+    return [line.removeprefix("entry: ") for line in lines if "entry: " in line]
 
 
 def pytest_collection_modifyitems(items):
