Give heads of calls between nodes their room from the start

Found in the reading of the change: heads have a strict limit on their bytes now, and a node that had just started applied that of callers to the calls of other nodes for its first second, although these carry headers of the nodes besides. test_starting_node_has_room_for_the_headers_of_nodes failed before and passes.

--- a/src/coltsfootspar/fleet/node.py
+++ b/src/coltsfootspar/fleet/node.py
@@ -66,7 +66,7 @@
     create_room_gate,
 )
 from coltsfootspar.replication import ReplicationClient, create_replication_client
-from coltsfootspar.routes import RouteTable
+from coltsfootspar.routes import ClientLimits, RouteTable
 from coltsfootspar.routing import Candidate, PeerLinks, create_peer_links
 from coltsfootspar.settings.fleet import (
     CapacitySettings,
@@ -186,6 +186,11 @@
             self._capacity_settings = settings.capacity
             self.backend.limiter.capacity = create_capacity(settings.capacity)
 
+    def apply_limits(self, limits: ClientLimits) -> None:
+        """Applies the limits of callers, with room for the headers of nodes."""
+        self.outbound.limits = limits
+        self.inbound.limits = attrs.evolve(limits, header_bytes=2 * limits.header_bytes)
+
     def apply_routes(self, table: RouteTable) -> None:
         """Begins to keep organisations within their rates once any has a limit."""
         if self.allowances is not None or not table.has_limits:
@@ -323,11 +328,7 @@
             self.forwarder.update_nodes(present_ids)
             if self.allowances is not None:
                 self.allowances.outage.update_nodes(len(present_ids))
-            limits = self.routes.table.limits
-            self.outbound.limits = limits
-            self.inbound.limits = attrs.evolve(
-                limits, header_bytes=2 * limits.header_bytes
-            )
+            self.apply_limits(self.routes.table.limits)
 
 
 @attrs.define(eq=False)
@@ -467,6 +468,7 @@
     )
     for server in (node.outbound, node.inbound):
         server.has_waiting = lambda: backend.limiter.load.waiting > 0
+    node.apply_limits(ClientLimits())
     _add_metrics(fleet_metrics, node)
     add_memory_metrics(fleet_metrics, account, count)
     add_capacity_metrics(fleet_metrics, backend.limiter)
--- a/src/coltsfootspar/fleet/tests/test_stopping.py
+++ b/src/coltsfootspar/fleet/tests/test_stopping.py
@@ -17,7 +17,14 @@
     create_relay_server,
 )
 from coltsfootspar.relay.calls import CALL_HEADER, OUTCOME_HEADER
-from coltsfootspar.routes import Repetition, Route, RouteTable, Service, Target
+from coltsfootspar.routes import (
+    ClientLimits,
+    Repetition,
+    Route,
+    RouteTable,
+    Service,
+    Target,
+)
 from coltsfootspar.routing import Candidate
 from coltsfootspar.settings.fleet import FleetBounds, FleetNodeSettings
 from coltsfootspar.wire import Address
@@ -208,6 +215,13 @@
         nursery.cancel_scope.cancel()
 
 
+async def test_starting_node_has_room_for_the_headers_of_nodes(stopping):
+    """Guards against calls refused for heads that were legal at their first node."""
+    node = stopping.node
+    assert node.outbound.limits == ClientLimits()
+    assert node.inbound.limits.header_bytes == 2 * ClientLimits().header_bytes
+
+
 async def test_requests_cut_at_the_end_of_the_grace_period_are_logged(stopping, caplog):
     """Guards against logs that cannot tell which requests a stop has cut, and why."""
     caller = await stopping.open_caller()
