--- a/src/coltsfootspar/testing/crowds.py
+++ b/src/coltsfootspar/testing/crowds.py
@@ -14,6 +14,7 @@
     "Crowd",
     "CrowdKind",
     "count_descriptors",
+    "hold_reading",
     "read_peak_memory",
     "send_ordinary",
 ]
@@ -68,7 +69,7 @@
                 async with trio.open_nursery() as senders:
                     for _ in range(self.clients):
                         stream = await trio.open_tcp_stream(address.host, address.port)
-                        connections.start_soon(_hold, stream)
+                        connections.start_soon(hold_reading, stream)
                         senders.start_soon(self._send, stream)
             task_status.started()
             await trio.sleep_forever()
@@ -110,7 +111,7 @@
         return self.head + framing + b"\r\n\r\n"
 
 
-async def _hold(stream: trio.SocketStream) -> None:
+async def hold_reading(stream: trio.SocketStream) -> None:
     """Reads what the server answers and keeps the connection open."""
     with contextlib.suppress(trio.BrokenResourceError, trio.ClosedResourceError):
         while await stream.receive_some():
--- a/src/coltsfootspar/testing/oddcrowds.py
+++ b/src/coltsfootspar/testing/oddcrowds.py
@@ -7,6 +7,7 @@
 import attrs
 import trio
 
+from coltsfootspar.testing.crowds import hold_reading
 from coltsfootspar.wire import Address
 
 __all__ = [
@@ -108,7 +109,7 @@
         if kind in (OddKind.SLOW_READER, OddKind.SLOW_READER_AHEAD):
             connections.start_soon(hold_silent, stream)
         else:
-            connections.start_soon(_hold_reading, stream)
+            connections.start_soon(hold_reading, stream)
         senders.start_soon(self._send, kind, index, stream)
 
     async def _send(self, kind: OddKind, index: int, stream: trio.SocketStream) -> None:
@@ -169,14 +170,6 @@
         yield data[start : start + _PIECE_BYTES]
 
 
-async def _hold_reading(stream: trio.SocketStream) -> None:
-    """Reads what the server answers and keeps the connection open."""
-    with contextlib.suppress(trio.BrokenResourceError, trio.ClosedResourceError):
-        while await stream.receive_some():
-            pass
-    await trio.sleep_forever()
-
-
 async def hold_silent(stream: trio.SocketStream) -> None:
     """Keeps a connection open and reads nothing."""
     async with stream:
