--- a/src/coltsfootspar/node/tests/test_crowds.py
+++ b/src/coltsfootspar/node/tests/test_crowds.py
@@ -3,10 +3,6 @@
 They guard against clients that end a process by what it holds for them.
 """
 
-import fcntl
-import pathlib
-import tempfile
-
 import pytest
 import trio
 
@@ -15,6 +11,7 @@
     Crowd,
     CrowdKind,
     count_descriptors,
+    lock_machine,
     read_peak_memory,
     send_ordinary,
 )
@@ -26,7 +23,6 @@
 )
 from coltsfootspar.wire import parse_address
 
-_LOCK = pathlib.Path(tempfile.gettempdir()) / "coltsfootspar-crowds.lock"
 _HOST = HostPlan(
     "specs-1",
     "specs",
@@ -52,10 +48,8 @@
 
 
 @pytest.fixture(autouse=True)
-def lock_machine():
-    """Lets only one such test run at a time."""
-    with _LOCK.open("w") as file:
-        fcntl.flock(file, fcntl.LOCK_EX)
+def only_crowd():
+    with lock_machine():
         yield
 
 
--- a/src/coltsfootspar/testing/crowds.py
+++ b/src/coltsfootspar/testing/crowds.py
@@ -2,7 +2,9 @@
 
 import contextlib
 import enum
+import fcntl
 import pathlib
+import tempfile
 from collections.abc import Iterator
 
 import attrs
@@ -15,10 +17,12 @@
     "CrowdKind",
     "count_descriptors",
     "hold_reading",
+    "lock_machine",
     "read_peak_memory",
     "send_ordinary",
 ]
 
+_LOCK = pathlib.Path(tempfile.gettempdir()) / "coltsfootspar-crowds.lock"
 _FAR_OVER_BYTES = 1 << 40
 _PIECE_BYTES = 16_384
 _LARGE_CHUNK_BYTES = 65_536
@@ -130,6 +134,14 @@
     return b"%x\r\n%s\r\n" % (length, b"x" * length)
 
 
+@contextlib.contextmanager
+def lock_machine() -> Iterator[None]:
+    """Lets only one such test run at a time."""
+    with _LOCK.open("w") as file:
+        fcntl.flock(file, fcntl.LOCK_EX)
+        yield
+
+
 async def send_ordinary(address: Address, data: bytes) -> bytes:
     """Sends a request, again after a refusal, and returns the last answer.
 
