Test crowds at admin addresses, of requests ahead and of unread large answers

The product's node gets every kind of odd requests, and all kinds at once; an unread whole answer joins the crowds of bodies.

--- a/src/coltsfootspar/testing/crowds.py
+++ b/src/coltsfootspar/testing/crowds.py
@@ -17,6 +17,7 @@
     "CrowdKind",
     "count_descriptors",
     "hold_reading",
+    "hold_silent",
     "lock_machine",
     "read_peak_memory",
     "send_ordinary",
@@ -42,6 +43,7 @@
     SHORT_TINY_CHUNKS = "tiny-chunks-stop-short"
     OVER_ANNOUNCED = "far-over-announced"
     OVER_SENT = "far-over-sent"
+    ANSWER_UNREAD = "answer-unread"
 
 
 @attrs.frozen
@@ -73,7 +75,9 @@
                 async with trio.open_nursery() as senders:
                     for _ in range(self.clients):
                         stream = await trio.open_tcp_stream(address.host, address.port)
-                        connections.start_soon(hold_reading, stream)
+                        is_unread = self.kind is CrowdKind.ANSWER_UNREAD
+                        hold = hold_silent if is_unread else hold_reading
+                        connections.start_soon(hold, stream)
                         senders.start_soon(self._send, stream)
             task_status.started()
             await trio.sleep_forever()
@@ -86,7 +90,7 @@
     def _iterate_pieces(self) -> Iterator[bytes]:
         length = self.body_bytes
         match self.kind:
-            case CrowdKind.WHOLE:
+            case CrowdKind.WHOLE | CrowdKind.ANSWER_UNREAD:
                 yield self._create_head(b"Content-Length: %d" % length)
                 yield b"x" * length
             case CrowdKind.SHORT:
@@ -123,6 +127,12 @@
     await trio.sleep_forever()
 
 
+async def hold_silent(stream: trio.SocketStream) -> None:
+    """Keeps a connection open and reads nothing."""
+    async with stream:
+        await trio.sleep_forever()
+
+
 def _split(length: int) -> Iterator[bytes]:
     while length > 0:
         size = min(_PIECE_BYTES, length)
--- a/src/coltsfootspar/testing/oddcrowds.py
+++ b/src/coltsfootspar/testing/oddcrowds.py
@@ -7,7 +7,7 @@
 import attrs
 import trio
 
-from coltsfootspar.testing.crowds import hold_reading
+from coltsfootspar.testing.crowds import hold_reading, hold_silent
 from coltsfootspar.wire import Address
 
 __all__ = [
@@ -16,7 +16,6 @@
     "OddCrowd",
     "OddKind",
     "create_lines",
-    "hold_silent",
 ]
 
 # Just below the longest head that clients may send.
@@ -31,6 +30,7 @@
 _EXTENDED_CHUNKS = 3
 _TRAILER_BYTES = 60_000
 _SLOW_REQUESTS_AHEAD = 16
+_REQUESTS_AHEAD = 64
 _PIECE_BYTES = 16_384
 
 
@@ -48,6 +48,7 @@
     SILENT = "silent"
     SLOW_READER = "slow-reader"
     SLOW_READER_AHEAD = "slow-reader-ahead"
+    REQUESTS_AHEAD = "requests-ahead"
 
 
 class LineShape(enum.Enum):
@@ -143,6 +144,8 @@
                 yield self.large
             case OddKind.SLOW_READER_AHEAD:
                 yield self.large * _SLOW_REQUESTS_AHEAD
+            case OddKind.REQUESTS_AHEAD:
+                yield (self.head + b"Content-Length: 0\r\n\r\n") * _REQUESTS_AHEAD
 
 
 def create_lines(shape: LineShape, length: int = HEAD_BYTES) -> bytes:
@@ -168,9 +171,3 @@
 def _split(data: bytes) -> Iterator[bytes]:
     for start in range(0, len(data), _PIECE_BYTES):
         yield data[start : start + _PIECE_BYTES]
-
-
-async def hold_silent(stream: trio.SocketStream) -> None:
-    """Keeps a connection open and reads nothing."""
-    async with stream:
-        await trio.sleep_forever()
