Free a rejected request of the product's node before its refusal

Callers at the product's node that stop in a chunk extension or in trailers behind a head of many lines brought it above the memory of its host. The error of the rejection was handled where it was raised, so its frames kept head and body while the connection lingered for the refusal to be read, although the account had released both.

The error is now taken without its frames, and the request is freed and released before the refusal is sent.

--- a/src/coltsfootspar/web/server.py
+++ b/src/coltsfootspar/web/server.py
@@ -225,9 +225,13 @@
                 self._http.start_next_cycle()
                 self._is_serving = False
         except (h11.RemoteProtocolError, TooLargeError, WebError) as error:
-            await self._reject(error)
+            # Its frames refer to the request.
+            rejected = error.with_traceback(None)
+            rejected.__cause__ = rejected.__context__ = None
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             return
+        # Outside of the handler, which refers to the error as it was raised.
+        await self._reject(rejected)
 
     async def _read_request(self) -> HttpRequest | None:
         has_ended = self._is_closed or self._server.is_draining
@@ -364,6 +368,8 @@
             ),
             f"{error}\n".encode(),
         )
+        self._body = bytearray()
+        self._holding.release()
         with trio.move_on_after(_LINGER_SECONDS):
             try:
                 await self._send_response(response, "GET")
