Count the answers of the product's node until their clients have read them

Clients of the product's node that send a short request and read nothing of a long answer held it for up to limits.idle_seconds, in any number: the account counted requests only.

An answer now counts twice its size while it is sent, as long as the client does not take it, and gives way to others as a stalled request does; its connection then ends. test_unread_answers_stay_within_the_budget fails before this change (no holding was evicted) and passes now; an answer larger than the budget is still whole for a client that reads. The web tests pass.

--- a/src/coltsfootspar/web/server.py
+++ b/src/coltsfootspar/web/server.py
@@ -30,8 +30,11 @@
 
 _RECEIVE_BYTES = 64 << 10
 _READ_AHEAD_BYTES = 64 << 10
-# Copies of a whole body while its request is served.
+# Copies of a whole body while its request is served, and of one while it is sent.
 _BODY_COPIES = 3
+_ANSWER_COPIES = 2
+# Most bytes that are sent before the progress of the client is noted.
+_SEND_PIECE_BYTES = 32 << 10
 # Memory of a header line beside its content, and copies of that, while its request is
 # served.
 _HEADER_BYTES = 640
@@ -131,6 +134,7 @@
     _is_serving: bool = False
     _request_scope: trio.CancelScope | None = None
     _read_scope: trio.CancelScope | None = None
+    _send_scope: trio.CancelScope | None = None
     _body: bytearray = attrs.field(factory=bytearray)
     _holding: Holding = attrs.field(init=False)
     _input_holding: Holding = attrs.field(init=False)
@@ -149,8 +153,9 @@
         """Drops what is being read, and refuses its request."""
         self._is_evicted = True
         self._body.clear()
-        if self._read_scope is not None:
-            self._read_scope.cancel()
+        for scope in (self._read_scope, self._send_scope):
+            if scope is not None:
+                scope.cancel()
 
     def close_if_idle(self) -> bool:
         """Ends the connection unless a request is being served or waits unread.
@@ -342,10 +347,24 @@
             data += http.send(h11.Data(data=response.body))
         data += http.send(h11.EndOfMessage())
         with trio.move_on_after(self._limits.idle_seconds) as scope:
-            await self._stream.send_all(data)
+            await self._send(data, scope)
         if scope.cancelled_caught:
             raise trio.BrokenResourceError("client does not read its answer")
 
+    async def _send(self, data: bytes, scope: trio.CancelScope) -> None:
+        """Sends an answer, which is held until the client has read it.
+
+        :param scope: cancelled when the answer has to give way to others.
+        """
+        holding, self._send_scope = self._holding, scope
+        holding.is_settled = False
+        holding.charge(_ANSWER_COPIES * len(data))
+        for start in range(0, len(data), _SEND_PIECE_BYTES):
+            piece = data[start : start + _SEND_PIECE_BYTES]
+            await self._stream.send_all(piece)
+            holding.record_progress(len(piece), trio.current_time())
+        self._send_scope = None
+
     async def _reject(self, error: Exception) -> None:
         if isinstance(error, TooLargeError):
             status, code = 413, error.code
