Count what the listeners for operators hold

Whoever reached the admin address of the product's node or of its replica brought the process to about 400 MB on a host of 160 MB: 80 connections with bodies of 2 MB that stop short took 235.8 to 242.4 MB, bodies far over the limit 397.5 to 399.3 MB. The listener ran on hypercorn without an account, a limit on connections or a check of the announced length, and JSON was decoded however many objects it held.

Both listeners are served by the h11 server as the callers' side is, in the account of the process. The replica has limits.connections and limits.memory_mb with the defaults of a node. A body counts with what it decodes to: 413 above the budget, 503 when others hold much already. The estimate of that moves from fleet to memory, where both use it.

The test sets the replica's memory with the mend, since the earlier settings refuse the key.

--- a/src/coltsfootspar/admin/routes.py
+++ b/src/coltsfootspar/admin/routes.py
@@ -1,5 +1,6 @@
 """JSON over HTTP for operators: paths, handlers and errors."""
 
+import contextlib
 import re
 import urllib.parse
 from collections.abc import Awaitable, Callable
@@ -16,11 +17,18 @@
     TableError,
     WebError,
 )
+from coltsfootspar.memory import (
+    MemoryAccount,
+    create_memory_account,
+    estimate_decoded_bytes,
+)
 from coltsfootspar.web import HttpRequest, HttpResponse
 
 __all__ = ["AdminRequest", "AdminRouter", "RawAnswer", "create_admin_router"]
 
 _JSON = (b"content-type", b"application/json")
+# Memory of a decoded body from which on it is refused while the process holds much.
+_LARGE_CONTENT_BYTES = 65_536
 
 
 @attrs.frozen
@@ -66,6 +74,7 @@
 class AdminRouter:
     """Finds the handler of a request and encodes its answer as JSON."""
 
+    _account: MemoryAccount
     _routes: list[tuple[str, re.Pattern[str], AdminHandler]] = attrs.field(factory=list)
 
     def add(self, method: str, path: str, handler: AdminHandler) -> None:
@@ -99,6 +108,22 @@
         request: HttpRequest,
         parameters: dict[str, str],
         query: str,
+    ) -> HttpResponse:
+        size = estimate_decoded_bytes(request.body)
+        if size > self._account.budget_bytes:
+            text = "the body takes too much memory once it is decoded"
+            return _create_error("too-dense", text, 413)
+        if size > _LARGE_CONTENT_BYTES and self._account.is_crowded:
+            return _create_error("no-memory", "the process holds too much", 503)
+        with contextlib.closing(self._account.open_settled(size)):
+            return await self._run_counted(handler, request, parameters, query)
+
+    async def _run_counted(
+        self,
+        handler: AdminHandler,
+        request: HttpRequest,
+        parameters: dict[str, str],
+        query: str,
     ) -> HttpResponse:
         try:
             content = orjson.loads(request.body) if request.body else None
@@ -139,6 +164,9 @@
     return HttpResponse(status, (_JSON,), orjson.dumps(content))
 
 
-def create_admin_router() -> AdminRouter:
-    """Creates a router without handlers."""
-    return AdminRouter()
+def create_admin_router(account: MemoryAccount | None = None) -> AdminRouter:
+    """Creates a router without handlers.
+
+    :param account: memory held for the connections of the process.
+    """
+    return AdminRouter(account or create_memory_account())
--- a/src/coltsfootspar/admin/tests/test_admin.py
+++ b/src/coltsfootspar/admin/tests/test_admin.py
@@ -6,6 +6,7 @@
 
 from coltsfootspar.admin import create_admin_router, decode_edits, encode_table
 from coltsfootspar.exceptions import ConflictError, NoQuorumError, TableError
+from coltsfootspar.memory import MemoryAccount
 from coltsfootspar.table import CellEdit, RowRemoval, create_table, parse_row_key
 from coltsfootspar.table.rows import create_row
 from coltsfootspar.web import HttpRequest
@@ -89,3 +90,34 @@
     content = encode_table(table)
     assert content["version"] == 6
     assert content["rows"][0]["cells"]["weight"] == {"value": 10, "version": 4}
+
+
+async def _edit(account, body):
+    """Posts a body, and returns the status and the code of the error."""
+
+    async def handler(request):
+        return {}
+
+    router = create_admin_router(account)
+    router.add("POST", "/table/edits", handler)
+    response = await router.handle(HttpRequest("POST", "/table/edits", (), body))
+    return response.status, json.loads(response.body).get("code")
+
+
+async def test_dense_body_is_refused_before_it_is_decoded():
+    """Guards against bodies of legal size that decode to more than the process has."""
+    account = MemoryAccount(1 << 20)
+    body = b"[" + b"[]," * 10_000 + b"[]]"
+    assert await _edit(account, body) == (413, "too-dense")
+    short = b"[" + b"[]," * 1_000 + b"[]]"
+    assert await _edit(account, short) == (200, None)
+    assert account.held_bytes == 0
+
+
+async def test_large_body_is_refused_while_the_process_holds_much():
+    """Guards against decoded bodies of many operators at the same time."""
+    account = MemoryAccount(1 << 20)
+    account.open_settled(900_000)
+    body = b"[" + b"[]," * 1_000 + b"[]]"
+    assert await _edit(account, body) == (503, "no-memory")
+    assert await _edit(account, b"[]") == (200, None)
--- a/src/coltsfootspar/bench/deployment.py
+++ b/src/coltsfootspar/bench/deployment.py
@@ -70,6 +70,7 @@
     replica_ids: tuple[str, ...]
     hosts: tuple[HostPlan, ...]
     node_options: dict[str, Any]
+    replica_options: dict[str, Any]
     inbound: dict[str, str] = attrs.field(factory=dict)
     admin: dict[str, str] = attrs.field(factory=dict)
     processes: dict[str, subprocess.Popen] = attrs.field(factory=dict)
@@ -244,6 +245,7 @@
         content = {
             "replica": self._describe_replica(replica_id),
             "listen": {"peer": address, "admin": self.admin[replica_id]},
+            **self.replica_options,
         }
         return self._write_settings(replica_id, content)
 
@@ -338,16 +340,20 @@
     hosts: Iterable[HostPlan],
     *,
     replicas: int = 1,
+    replica_options: dict[str, Any] | None = None,
     **node_options: Any,
 ):
     """Creates a deployment whose processes end with the context.
 
     :param folder: for settings, data and logs.
     :param replicas: number of replicas.
+    :param replica_options: further settings of all replicas.
     :param node_options: further settings of all nodes.
     """
     ids = tuple(f"r{number + 1}" for number in range(replicas))
-    deployment = LocalDeployment(folder, ids, tuple(hosts), node_options)
+    deployment = LocalDeployment(
+        folder, ids, tuple(hosts), node_options, replica_options or {}
+    )
     try:
         yield deployment
     finally:
--- a/src/coltsfootspar/fleet/control.py
+++ b/src/coltsfootspar/fleet/control.py
@@ -11,7 +11,6 @@
     NoQuorumError,
     ReplicationError,
 )
-from coltsfootspar.fleet.decoding import estimate_decoded_bytes
 from coltsfootspar.fleet.departures import DepartureRecorder
 from coltsfootspar.fleet.interfaces import (
     BackendDeparture,
@@ -21,6 +20,7 @@
     RouteQuery,
 )
 from coltsfootspar.logs import log_decision
+from coltsfootspar.memory import estimate_decoded_bytes
 from coltsfootspar.relay import BackendReport, BackendServer, Exchange
 from coltsfootspar.replication import ChangeStatus, ReplaceRoutes, ReplicationClient
 from coltsfootspar.replication.commands import MAX_COMMAND_BYTES
--- a/src/coltsfootspar/memory/__init__.py
+++ b/src/coltsfootspar/memory/__init__.py
@@ -6,6 +6,7 @@
     MemoryLimits,
     create_memory_account,
 )
+from coltsfootspar.memory.documents import estimate_decoded_bytes
 from coltsfootspar.memory.openings import ConnectionCount, Openable
 
 __all__ = [
@@ -15,4 +16,5 @@
     "MemoryLimits",
     "Openable",
     "create_memory_account",
+    "estimate_decoded_bytes",
 ]
--- a/src/coltsfootspar/memory/account.py
+++ b/src/coltsfootspar/memory/account.py
@@ -153,6 +153,16 @@
         """
         return Holding(self, evict)
 
+    def open_settled(self, size: int) -> Holding:
+        """Returns a holding that does not give way.
+
+        :param size: bytes to count from the start.
+        """
+        holding = Holding(self, _do_nothing, is_settled=True)
+        if size:
+            self.charge(holding, size)
+        return holding
+
     def charge(self, holding: Holding, size: int) -> None:
         """Adds to a holding; see :meth:`Holding.charge`."""
         now = trio.current_time()
--- a/src/coltsfootspar/fleet/tests/test_decoding.py
+++ b/src/coltsfootspar/memory/tests/test_documents.py
@@ -5,7 +5,7 @@
 import orjson
 import pytest
 
-from coltsfootspar.fleet.decoding import estimate_decoded_bytes
+from coltsfootspar.memory import estimate_decoded_bytes
 
 PIECES = (
     b"[]",
--- a/src/coltsfootspar/node/admin.py
+++ b/src/coltsfootspar/node/admin.py
@@ -135,7 +135,7 @@
 
     :param drain: set when an operator asks the node to drain.
     """
-    router = create_admin_router()
+    router = create_admin_router(parts.account)
     paths = _NodePaths(parts, drain)
     source = TableSource(paths.read_table, paths.wait_for_table)
     add_table_paths(router, source, parts.client)
--- a/src/coltsfootspar/node/assembly.py
+++ b/src/coltsfootspar/node/assembly.py
@@ -60,6 +60,7 @@
 class NodeParts:
     """All parts of a node.
 
+    :param account: memory held for the HTTP connections of the process.
     :param replica: set when the process holds a replica.
     """
 
@@ -82,6 +83,7 @@
     spans: SpanCollector
     inbound: HttpServer
     outbound: HttpServer
+    account: MemoryAccount
     tls: TlsContexts | None
     replica: ReplicaService | None
 
@@ -211,6 +213,7 @@
             spans=create_span_collector(tracer, membership, links),
             inbound=create_server(gateway.handle_inbound),
             outbound=create_server(gateway.handle_outbound),
+            account=account,
             tls=tls,
             replica=replica,
         )
--- a/src/coltsfootspar/node/program.py
+++ b/src/coltsfootspar/node/program.py
@@ -10,8 +10,8 @@
 from coltsfootspar.node.assembly import NodeParts, open_node_parts
 from coltsfootspar.routing import PeerServer, serve_peers
 from coltsfootspar.settings import NodeSettings
-from coltsfootspar.web import HttpServer
-from coltsfootspar.web.hypercorn import create_hypercorn_server
+from coltsfootspar.web import HttpServer, WebLimits
+from coltsfootspar.web.server import create_h11_server
 
 __all__ = ["EXIT_CLEAN", "EXIT_DRAIN_TIME", "run_node"]
 
@@ -74,8 +74,12 @@
         return EXIT_CLEAN if is_clean else EXIT_DRAIN_TIME
 
     def _create_admin(self) -> HttpServer:
-        return create_hypercorn_server(
-            create_node_admin(self._parts, self._drain).handle
+        parts = self._parts
+        return create_h11_server(
+            create_node_admin(parts, self._drain).handle,
+            WebLimits(connections=parts.settings.limits.connections),
+            lambda code: parts.metrics.http_errors.inc({"code": code}),
+            parts.account,
         )
 
     async def _serve_peers(self, task_status: trio.TaskStatus) -> None:
--- a/src/coltsfootspar/node/tests/test_crowds.py
+++ b/src/coltsfootspar/node/tests/test_crowds.py
@@ -73,7 +73,10 @@
     # A replica that is pressed has a process of its own.
     host = attrs.evolve(_HOST, holds_replica=door != _REPLICA_ADMIN)
     limits = {"body_bytes": 4_000_000, "memory_mb": MEMORY_MB}
-    with create_deployment(tmp_path, [host], limits=limits) as deployment:
+    replica_options = {"limits": {"memory_mb": MEMORY_MB}}
+    with create_deployment(
+        tmp_path, [host], replica_options=replica_options, limits=limits
+    ) as deployment:
         deployment.start_all()
         wait_for(
             lambda: deployment.edit(_HOST.node_id, _ROWS).status == 200, "a leader"
--- a/src/coltsfootspar/replica/program.py
+++ b/src/coltsfootspar/replica/program.py
@@ -7,8 +7,9 @@
 import trio
 from absl import logging
 
-from coltsfootspar.admin import RawAnswer, create_admin_router
+from coltsfootspar.admin import AdminRouter, RawAnswer, create_admin_router
 from coltsfootspar.admin.replicated import TableSource, add_table_paths
+from coltsfootspar.memory import MemoryAccount, MemoryLimits, create_memory_account
 from coltsfootspar.replica.metrics import METRICS_TYPE, create_replica_metrics
 from coltsfootspar.replica.service import ReplicaService, create_replica_service
 from coltsfootspar.replication import (
@@ -20,7 +21,8 @@
 from coltsfootspar.routing import PeerLinks, create_peer_links
 from coltsfootspar.settings import NodeSettings, ReplicaSettings
 from coltsfootspar.timers import create_timer_service
-from coltsfootspar.web.hypercorn import create_hypercorn_server
+from coltsfootspar.web import HttpServer, WebLimits
+from coltsfootspar.web.server import create_h11_server
 from coltsfootspar.wire import Identity
 from coltsfootspar.wire.tls import create_tls_contexts
 
@@ -100,7 +102,7 @@
         with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
             async with trio.open_nursery() as nursery:
                 await nursery.start(self._service.run)
-                admin = create_hypercorn_server(self._create_router().handle)
+                admin = self._create_admin()
                 await nursery.start(admin.serve, self._settings.listen.admin)
                 logging.info("Replica %s is ready", block.id)
                 async for number in signals:
@@ -114,7 +116,16 @@
                 logging.info("Replica %s stopped", block.id)
                 nursery.cancel_scope.cancel()
 
-    def _create_router(self):
+    def _create_admin(self) -> HttpServer:
+        limits = self._settings.limits
+        account = create_memory_account(MemoryLimits(limits.memory_mb))
+        return create_h11_server(
+            self._create_router(account).handle,
+            WebLimits(connections=limits.connections),
+            account=account,
+        )
+
+    def _create_router(self, account: MemoryAccount) -> AdminRouter:
         replica = self._service.replica
         link = create_local_link(replica, self._links)
         ids = [member.id for member in self._settings.replicas]
@@ -143,7 +154,7 @@
         async def show_metrics(request) -> RawAnswer:
             return RawAnswer(metrics.render(replica.status()), METRICS_TYPE)
 
-        router = create_admin_router()
+        router = create_admin_router(account)
         router.add("GET", "/metrics", show_metrics)
         add_table_paths(router, TableSource(client.read_table, wait), client)
         router.add("GET", "/status", show_status)
--- a/src/coltsfootspar/settings/model.py
+++ b/src/coltsfootspar/settings/model.py
@@ -283,6 +283,21 @@
     replica: ReplicaBlock | None = None
 
 
+@attrs.frozen(kw_only=True)
+class ReplicaLimits:
+    """Limits on what operators may send to a replica.
+
+    :param connections: most open connections of the admin listener.
+    :param memory_mb: memory of the process, megabytes; requests that would exceed it
+        are refused.
+    """
+
+    connections: int = attrs.field(default=2_000, validator=_require_range(1, 100_000))
+    memory_mb: float = attrs.field(
+        default=512.0, validator=_require_range(64, 1_000_000)
+    )
+
+
 @attrs.frozen(kw_only=True)
 class ReplicaSettings:
     """Settings of ``coltsfootspar-replica``."""
@@ -292,6 +307,7 @@
     replica: ReplicaBlock
     listen: ReplicaListeners
     replicas: tuple[ReplicaMember, ...] = attrs.field(validator=_require_replica_count)
+    limits: ReplicaLimits = attrs.field(factory=ReplicaLimits)
     log: LogSettings = attrs.field(factory=LogSettings)
     claims: ClaimSettings = attrs.field(factory=ClaimSettings)
     tls: TlsSettings | None = None
