Count the state of each request in progress

Only heads, bodies and answers were counted, about 2.6 KB for such a request, of which each took about 6.8 KB with its exchange, its call, the frames of its handler and its task.

Each request in progress counts 5 KiB more, for its connection and for the process, so that reading ahead stops earlier; the size up to which a whole request is always served grows by as much.

The tests of the relay and of the fleet pass.

--- a/src/coltsfootspar/relay/connections.py
+++ b/src/coltsfootspar/relay/connections.py
@@ -20,6 +20,7 @@
 from coltsfootspar.relay.ahead import AheadLimits, ReadAhead, Turn
 from coltsfootspar.relay.exchanges import (
     CLOSE_HEADERS,
+    EXCHANGE_BYTES,
     NO_MEMORY_HEADERS,
     Exchange,
     Handler,
@@ -38,7 +39,7 @@
 _DISCARD_TIMEOUT_SECONDS = 2.0
 _MAX_DISCARDED_BYTES = 64 << 20
 # A whole request that takes no more is served even when the process holds all it may.
-_SMALL_REQUEST_BYTES = 8_192
+_SMALL_REQUEST_BYTES = EXCHANGE_BYTES + 8_192
 # A head that takes more is refused while the process holds much.
 _LARGE_HEAD_BYTES = 65_536
 # Time after which an incomplete head counts as stalled.
--- a/src/coltsfootspar/relay/exchanges.py
+++ b/src/coltsfootspar/relay/exchanges.py
@@ -30,12 +30,21 @@
 if TYPE_CHECKING:
     from coltsfootspar.relay.connections import Connection
 
-__all__ = ["CLOSE_HEADERS", "NO_MEMORY_HEADERS", "Exchange", "Handler"]
+__all__ = [
+    "CLOSE_HEADERS",
+    "EXCHANGE_BYTES",
+    "NO_MEMORY_HEADERS",
+    "Exchange",
+    "Handler",
+]
 
 # Most bytes that are sent before the progress of the caller is noted.
 _SEND_PIECE_BYTES = 32_768
 # Interval at which the progress of a caller that reads slowly is asked for.
 _READ_CHECK_SECONDS = 0.5
+# Memory of a request in progress beside its content: its exchange, its call, the frames
+# of its handler and, if it was sent ahead, its task.
+EXCHANGE_BYTES = 5_120
 CLOSE_HEADERS: Headers = [(b"Connection", b"close")]
 # Headers of a refusal before a handler has begun.
 NO_MEMORY_HEADERS: Headers = [
@@ -98,10 +107,14 @@
 
     @property
     def held_bytes(self) -> int:
-        """Size of the request received and of the answer that waits for its turn."""
+        """About the memory of the request and of the answer that waits for its turn."""
         answer_bytes = self.turn.answer_bytes if self.turn is not None else 0
-        request = self.request
-        return request.head_cost + request.received_bytes + answer_bytes
+        return self._head_bytes + self.request.received_bytes + answer_bytes
+
+    @property
+    def _head_bytes(self) -> int:
+        """About the memory of the request without its body."""
+        return EXCHANGE_BYTES + self.request.head_cost
 
     async def wait_for_turn(self) -> None:
         """Waits until the earlier requests on the connection are answered.
@@ -174,7 +187,7 @@
                 await self._wait_for_room()
             await self._connection.read_more(request)
         body = request.take_body()
-        holding.charge(request.head_cost + len(body))
+        holding.charge(self._head_bytes + len(body))
         # From its end on, the request waits for its server and not for its caller.
         holding.is_settled = request.is_complete
         return body
