Count responses while they are buffered, and drop what was sent

A node buffers up to 256 KiB of each response before it passes it on. Nothing counted that, on either of the two hops, and a reply kept its buffered beginning until the end of its body.

The connection to a server counts a response that is longer than a read, until it is passed on. Above three quarters of the budget it buffers no further: the rest stays with the server until the caller reads it, 8 KiB at a time. A reply whose body was received in part holds none of it.

--- a/src/coltsfootspar/fleet/node.py
+++ b/src/coltsfootspar/fleet/node.py
@@ -392,8 +392,9 @@
     routes = create_route_copy()
     announcer = _BackendAnnouncer(membership, settings_file)
     bounds = settings.bounds
+    account = create_memory_account(settings.limits)
     backend = create_backend_server(
-        adapter.names, announcer.announce, bounds.repeat_ratio
+        adapter.names, announcer.announce, bounds.repeat_ratio, account
     )
     backend.limiter.capacity = create_capacity(settings.capacity)
     announcer.backend = backend
@@ -410,6 +411,7 @@
         TrafficSplitter(),
         backend,
         adapter.names,
+        account,
     )
     forwarder.identifier.policy = _create_revocation_policy(bounds)
     fleet_metrics = create_fleet_metrics()
@@ -427,7 +429,6 @@
     control = create_control_handler(
         adapter, NodeControl(backend, settings.service, departures).serve
     )
-    account = create_memory_account(settings.limits)
     count = ConnectionCount(settings.limits.descriptors)
     node = FleetNode(
         settings_file=settings_file,
--- a/src/coltsfootspar/relay/backend.py
+++ b/src/coltsfootspar/relay/backend.py
@@ -10,6 +10,7 @@
 from coltsfootspar.calls import Outcome
 from coltsfootspar.exceptions import RefusedError, TransferError
 from coltsfootspar.logs import log_decision
+from coltsfootspar.memory import MemoryAccount
 from coltsfootspar.relay.allowances import NOT_RUN_SHARE, RetryAllocator
 from coltsfootspar.relay.calls import (
     BLOCKED_ERROR,
@@ -117,10 +118,12 @@
     :param running: calls in progress at the backend server.
     :param room: tells which requests the backend server has room for.
     :param signals: what is known of the room of all services.
+    :param account: memory held for the connections of the process.
     """
 
     _names: HeaderNames
     _on_change: Callable[[], None]
+    account: MemoryAccount | None = None
     allocator: RetryAllocator = attrs.field(factory=RetryAllocator)
     limiter: ConcurrencyLimiter = attrs.field(factory=create_concurrency_limiter)
     guard: CrashGuard = attrs.field(
@@ -492,7 +495,7 @@
     def _replace_pool(self, address: Address) -> None:
         if self._pool is not None:
             self._pool.close()
-        self._pool = ConnectionPool(address)
+        self._pool = ConnectionPool(address, self.account)
 
     def _publish_change(self) -> None:
         if not self.service:
@@ -539,12 +542,14 @@
     names: HeaderNames,
     on_change: Callable[[], None],
     retry_ratio: float = DEFAULT_RETRY_RATIO,
+    account: MemoryAccount | None = None,
 ) -> BackendServer:
     """Creates a backend server that has not reported yet.
 
     :param on_change: called when it starts or stops taking work, or is replaced.
     :param retry_ratio: retries allowed for each call, over all nodes.
+    :param account: memory held for the connections of the process.
     """
-    backend = BackendServer(names, on_change)
+    backend = BackendServer(names, on_change, account)
     backend.set_retry_ratio(retry_ratio)
     return backend
--- a/src/coltsfootspar/relay/calls.py
+++ b/src/coltsfootspar/relay/calls.py
@@ -244,10 +244,11 @@
 class Reply:
     """Reply to a call.
 
-    :param body: the whole body, or its beginning if :attr:`read` is set.
+    :param body: the whole body; empty if :attr:`read` is set.
     :param error: error code of a reply that a node sends in place of the backend
         server.
-    :param read: returns the next piece of an incomplete body; empty at its end.
+    :param read: returns the next piece of a body that was received in part; empty at
+        its end.
     :param length: announced length of an incomplete body.
     :param load: load of the backend server when the reply was created.
     :param finish: releases the connection and the slot; must be called once the body
@@ -358,7 +359,8 @@
     return Reply(
         response.status,
         filter_headers(response, INTERNAL_HEADERS),
-        response.take_body(),
+        # A reply lasts until the end of its body, and would keep the beginning as long.
+        response.take_body() if response.is_complete else b"",
         outcome,
         response.reason,
         error,
--- a/src/coltsfootspar/relay/client.py
+++ b/src/coltsfootspar/relay/client.py
@@ -9,6 +9,7 @@
 
 from coltsfootspar.exceptions import MalformedRequestError, TransferError
 from coltsfootspar.logs import log_decision
+from coltsfootspar.memory import Holding, MemoryAccount
 from coltsfootspar.relay.messages import (
     LAST_CHUNK,
     Response,
@@ -16,6 +17,7 @@
     encode_chunk,
 )
 from coltsfootspar.relay.sockets import (
+    RECEIVE_BYTES,
     connect,
     find_readable,
     peek,
@@ -41,6 +43,8 @@
 _FIRST_FINAL_STATUS = 200
 MAX_RESPONSE_HEAD_BYTES = 65_536
 MAX_INTERIM_RESPONSES = 16
+# Most bytes that are received at once of a body while the process holds much.
+_CROWDED_RECEIVE_BYTES = 8_192
 
 
 @attrs.define(eq=False)
@@ -96,9 +100,12 @@
     :param echoes_ids: true once a response has echoed the id of its request.
     :param has_send_failed: true once the server has reset the connection or stopped
         reading during a request.
+    :param account: memory held for the connections of the process; None counts no
+        responses.
     """
 
     sock: socket.socket
+    account: MemoryAccount | None = None
     used_at: float = 0.0
     keep_alive_seconds: float = MAX_IDLE_SECONDS
     has_served_request: bool = False
@@ -107,12 +114,20 @@
     echoes_ids: bool = False
     has_send_failed: bool = False
     _reader: ResponseReader = attrs.field(factory=ResponseReader)
+    _holding: Holding | None = None
 
     def close(self) -> None:
         """Closes the connection."""
         self.must_close = True
+        self.release()
         self.sock.close()
 
+    def release(self) -> None:
+        """Counts the response no longer, since it was passed on or is not needed."""
+        if self._holding is not None:
+            self._holding.close()
+            self._holding = None
+
     def is_usable(self, now: float, max_idle: float) -> bool:
         """Tells whether another request may be sent, without checking the socket.
 
@@ -162,6 +177,9 @@
         :raises TransferError: when the connection ends before the body does.
         """
         await trio.lowlevel.checkpoint()
+        if not response.body_parts:
+            # What was buffered has been sent.
+            self.release()
         while not response.body_parts and not response.is_complete:
             await self._read_more(response)
         return response.take_body()
@@ -210,10 +228,7 @@
             self.has_response_started = True
             if request.is_head:
                 response.is_complete, self.must_close = True, True
-            while not response.is_complete and response.received_bytes <= buffer_bytes:
-                if response.received_bytes:
-                    await trio.lowlevel.checkpoint()
-                await self._read_more(response)
+            await self._buffer_body(response, buffer_bytes)
             echoed_id = response.find(request.id_header)
             if echoed_id is None or request.request_id in (None, echoed_id):
                 is_echoed = echoed_id is not None and request.request_id is not None
@@ -227,8 +242,38 @@
                 text = "the response echoes the id of another request"
                 raise TransferError(text, may_have_run=True, code="other-response")
 
+    async def _buffer_body(self, response: Response, limit: int) -> None:
+        """Reads a body until it is complete or longer than a limit.
+
+        While the process holds much, the rest of a body that has begun stays with the
+        server until the caller reads it.
+
+        :param limit: bytes.
+        """
+        while not response.is_complete and response.received_bytes <= limit:
+            if response.received_bytes:
+                if self._is_crowded:
+                    return
+                await trio.lowlevel.checkpoint()
+            await self._read_more(response)
+            self._charge(response)
+
+    def _charge(self, response: Response) -> None:
+        """Counts what has been received of a body."""
+        if self.account is None:
+            return
+        if self._holding is None:
+            self._holding = self.account.open_settled(response.received_bytes)
+        else:
+            self._holding.charge(response.received_bytes - self._holding.held_bytes)
+
+    @property
+    def _is_crowded(self) -> bool:
+        return self.account is not None and self.account.is_crowded
+
     async def _read_more(self, response: Response | None) -> None:
-        data = await receive(self.sock)
+        size = _CROWDED_RECEIVE_BYTES if self._is_crowded else RECEIVE_BYTES
+        data = await receive(self.sock, size)
         try:
             if data:
                 self._reader.feed(data)
@@ -272,10 +317,13 @@
 class ConnectionPool:
     """Pool of connections to one address; reuses the most recently used one first.
 
+    :param account: memory held for the connections of the process; None counts no
+        responses.
     :param opened: number of connections opened so far.
     """
 
     address: Address
+    account: MemoryAccount | None = None
     opened: int = 0
     _idle: list[ClientConnection] = attrs.field(factory=list)
 
@@ -328,11 +376,12 @@
     ) -> tuple[ClientConnection, Response]:
         sock = await connect(self.address, CONNECT_SECONDS)
         self.opened += 1
-        connection = ClientConnection(sock)
+        connection = ClientConnection(sock, self.account)
         return connection, await _exchange(connection, request, buffer_bytes)
 
     def return_connection(self, connection: ClientConnection) -> None:
         """Returns a connection to the pool, or closes it if it cannot be reused."""
+        connection.release()
         if connection.has_served_request and not connection.must_close:
             self._idle.append(connection)
         else:
--- a/src/coltsfootspar/relay/forwarding.py
+++ b/src/coltsfootspar/relay/forwarding.py
@@ -10,6 +10,7 @@
 from coltsfootspar.calls import Outcome, find_header
 from coltsfootspar.exceptions import RefusedError, TooLargeError, TransferError
 from coltsfootspar.logs import log_decision
+from coltsfootspar.memory import MemoryAccount
 from coltsfootspar.relay.backend import RESPONSE_BUFFER_BYTES, BackendServer
 from coltsfootspar.relay.calls import (
     BLOCKED_ERROR,
@@ -161,6 +162,7 @@
     :param entry_gate: refuses new requests for which there is no room further on.
     :param quota_gate: keeps organisations within their rates.
     :param identifier: looks up the organisation of a request by its key.
+    :param account: memory held for the connections of the process.
     """
 
     _node_id: str
@@ -173,6 +175,7 @@
     _splitter: TrafficSplitter
     _backend: BackendServer
     _names: HeaderNames
+    account: MemoryAccount | None = None
     counters: RelayCounters = attrs.field(factory=RelayCounters)
     ends_at: float = math.inf
     entry_gate: EntryGate = attrs.field(factory=OpenEntryGate)
@@ -520,7 +523,7 @@
         outgoing.sent_to.add(node_id)
         pool = self._pools.get(address)
         if pool is None:
-            pool = ConnectionPool(address)
+            pool = ConnectionPool(address, self.account)
             self._pools[address] = pool
         try:
             connection, response = await pool.exchange(
--- a/src/coltsfootspar/relay/receiving.py
+++ b/src/coltsfootspar/relay/receiving.py
@@ -130,12 +130,7 @@
     if reply.read is None:
         await exchange.answer(reply.status, headers, reply.body, reply.reason)
         return
-    buffered = [reply.body]
-
-    async def read() -> bytes:
-        return (buffered.pop() if buffered else b"") or await reply.read()
-
     response = Response(status=reply.status, reason=reply.reason)
     if reply.length is not None:
         response.header_values[b"content-length"] = b"%d" % reply.length
-    await exchange.stream_response(response, headers, read)
+    await exchange.stream_response(response, headers, reply.read)
--- a/src/coltsfootspar/relay/sockets.py
+++ b/src/coltsfootspar/relay/sockets.py
@@ -19,6 +19,7 @@
 from coltsfootspar.wire import Address
 
 __all__ = [
+    "RECEIVE_BYTES",
     "accept",
     "connect",
     "count_unread",
@@ -41,7 +42,7 @@
 KEEPALIVE_INTERVAL_SECONDS = 1
 KEEPALIVE_PROBES = 2
 BACKLOG = 1024
-_RECEIVE_BYTES = 65_536
+RECEIVE_BYTES = 65_536
 
 # For use where input is not likely to be available yet: trying to read first would
 # cost another system call.
@@ -143,17 +144,18 @@
             return sock, host
 
 
-async def receive(sock: socket.socket) -> bytes:
+async def receive(sock: socket.socket, size: int = RECEIVE_BYTES) -> bytes:
     """Receives data; empty when the peer has closed the connection.
 
     Does not let other tasks run while data is available: a loop over a body must do
     so itself, before it receives more, so that a cancellation loses no data.
 
+    :param size: most bytes.
     :raises TransferError: when the connection was reset or timed out.
     """
     while True:
         try:
-            return sock.recv(_RECEIVE_BYTES)
+            return sock.recv(size)
         except BlockingIOError:
             await wait_readable(sock)
         except OSError as error:
--- a/src/coltsfootspar/relay/tests/test_endless_bodies.py
+++ b/src/coltsfootspar/relay/tests/test_endless_bodies.py
@@ -313,7 +313,7 @@
     """
     calls = 0
 
-    async def receive(sock):
+    async def receive(sock, size=MB):
         nonlocal calls
         calls += 1
         assert calls < most, "no other task can run while data comes"
