Keep no piece of a body while its connection waits for the next

Each connection whose peer stopped in the middle of a body, and each idle one of the product's node, kept the last piece that it had received, up to 64 KiB: the variable of the loop lasted while the next piece was waited for.

The loops that pass responses and requests on, and those that receive at the product's node and on links between processes, drop a piece once it is passed on.

--- a/src/coltsfootspar/relay/client.py
+++ b/src/coltsfootspar/relay/client.py
@@ -196,6 +196,8 @@
                     break
                 is_chunked = stream.length is None
                 await send_all(self.sock, encode_chunk(data) if is_chunked else data)
+                # It would stay in memory while the next piece is waited for.
+                del data
             if stream is not None and stream.length is None:
                 await send_all(self.sock, LAST_CHUNK)
         except TransferError:
--- a/src/coltsfootspar/relay/exchanges.py
+++ b/src/coltsfootspar/relay/exchanges.py
@@ -265,9 +265,12 @@
         connection.is_broken = True
         head = encode_response(response.status, headers, None, response.reason)
         await self._send(head)
-        while data := start or await read():
-            start = b""
+        data, start = start or await read(), b""
+        while data:
             await self._send(data if length else encode_chunk(data))
+            # It would stay in memory while the next piece is waited for.
+            data = b""
+            data = await read()
         if length is None:
             await self._send(LAST_CHUNK)
         connection.is_broken = False
--- a/src/coltsfootspar/relay/tests/test_endless_bodies.py
+++ b/src/coltsfootspar/relay/tests/test_endless_bodies.py
@@ -19,6 +19,7 @@
 )
 from coltsfootspar.routes import Repetition, RouteTable, Service
 from coltsfootspar.testing.ports import find_free_port
+from coltsfootspar.testing.sockets import NullSocket
 from coltsfootspar.wire import Address
 
 from .conftest import (
@@ -322,16 +323,6 @@
     return receive
 
 
-class NullSocket:
-    """A socket that takes all that is sent."""
-
-    def send(self, data):
-        return len(data)
-
-    def shutdown(self, how):
-        pass
-
-
 def create_request():
     connection = Connection(create_relay_server(None), NullSocket(), HOST)
     connection.reader.feed(
--- a/src/coltsfootspar/web/server.py
+++ b/src/coltsfootspar/web/server.py
@@ -193,6 +193,8 @@
                 data = b""
             self._is_closed = not data
             self._feed(data)
+            # It would stay in memory while the next input is waited for.
+            del data
             if self._is_closed and self._request_scope is not None:
                 # The client has gone; its request is cancelled down the chain.
                 self._request_scope.cancel()
--- a/src/coltsfootspar/wire/connection.py
+++ b/src/coltsfootspar/wire/connection.py
@@ -272,6 +272,8 @@
                 return
             self._last_received = trio.current_time()
             self._decoder.feed(data)
+            # It would stay in memory while the next bytes are waited for.
+            del data
 
     async def _dispatch(self, frame: Frame, nursery: trio.Nursery) -> None:
         if frame.kind is FrameKind.PING:
