Keep the product's connections below the descriptors that the system allows

600 connections without a request shut ordinary callers of the product's node out when the system allowed it 300 descriptors: no answer in 100 s, at the callers' side and at the address for operators, of the node and of its replica. The limit on connections is that of the settings, 2,000 for each listener, whatever the system allows (1,024 by default on many), so accepting failed long before an idle connection was closed.

The listeners of a process share a ConnectionCount of the descriptors that the system allows, as on the platform's hosts: half for callers and operators, a fifth for each listener of other processes. The longest idle give way to new ones, then those whose clients have stopped in a request or in an answer for a second.

--- a/src/coltsfootspar/bench/deployment.py
+++ b/src/coltsfootspar/bench/deployment.py
@@ -111,6 +111,15 @@
             if with_stand_ins:
                 self.start_stand_in(host)
 
+    def find_peer_address(self, name: str) -> str:
+        """Returns the address of a process for other processes.
+
+        :param name: node id or replica id.
+        """
+        if name in self._listeners:
+            return self._listeners[name]["peer"]
+        return next(r["address"] for r in self._replicas if r["id"] == name)
+
     def start_replica(self, replica_id: str) -> None:
         """Starts a replica on its data folder."""
         path = self._write_replica_settings(replica_id)
@@ -241,10 +250,12 @@
         return f"127.0.0.1:{self._ports.pop()}"
 
     def _write_replica_settings(self, replica_id: str) -> str:
-        address = next(r["address"] for r in self._replicas if r["id"] == replica_id)
         content = {
             "replica": self._describe_replica(replica_id),
-            "listen": {"peer": address, "admin": self.admin[replica_id]},
+            "listen": {
+                "peer": self.find_peer_address(replica_id),
+                "admin": self.admin[replica_id],
+            },
             **self.replica_options,
         }
         return self._write_settings(replica_id, content)
--- a/src/coltsfootspar/memory/__init__.py
+++ b/src/coltsfootspar/memory/__init__.py
@@ -7,7 +7,11 @@
     create_memory_account,
 )
 from coltsfootspar.memory.documents import estimate_decoded_bytes
-from coltsfootspar.memory.openings import ConnectionCount, Openable
+from coltsfootspar.memory.openings import (
+    ConnectionCount,
+    Openable,
+    count_allowed_descriptors,
+)
 
 __all__ = [
     "ConnectionCount",
@@ -15,6 +19,7 @@
     "MemoryAccount",
     "MemoryLimits",
     "Openable",
+    "count_allowed_descriptors",
     "create_memory_account",
     "estimate_decoded_bytes",
 ]
--- a/src/coltsfootspar/memory/openings.py
+++ b/src/coltsfootspar/memory/openings.py
@@ -1,11 +1,12 @@
 """Count of the accepted connections of a process, kept below its descriptors."""
 
+import resource
 from typing import Protocol
 
 import attrs
 import trio
 
-__all__ = ["ConnectionCount", "Openable"]
+__all__ = ["ConnectionCount", "Openable", "count_allowed_descriptors"]
 
 # Shares of the descriptors: for accepted connections, and for those of peers besides.
 # The rest is for connections to peers and backend servers and for files.
@@ -18,6 +19,11 @@
 _CLOSING_SHARE = 0.02
 
 
+def count_allowed_descriptors() -> int:
+    """Returns the most descriptors that the system allows this process."""
+    return resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+
+
 class Openable(Protocol):
     """An accepted connection.
 
@@ -59,6 +65,11 @@
     closed_stalled: int = 0
     _connections: set[Openable] = attrs.field(factory=set)
 
+    @property
+    def most_of_peers(self) -> int:
+        """Most connections that a server for peers alone accepts."""
+        return int(self.descriptors * _PEER_SHARE)
+
     def has_room(self, *, is_peer: bool) -> bool:
         """Tells whether a connection may stay open; closes idle ones in its favour.
 
--- a/src/coltsfootspar/node/assembly.py
+++ b/src/coltsfootspar/node/assembly.py
@@ -18,7 +18,13 @@
     create_membership,
     open_udp_port,
 )
-from coltsfootspar.memory import MemoryAccount, MemoryLimits, create_memory_account
+from coltsfootspar.memory import (
+    ConnectionCount,
+    MemoryAccount,
+    MemoryLimits,
+    count_allowed_descriptors,
+    create_memory_account,
+)
 from coltsfootspar.node.admission import (
     AnnouncedAdmission,
     create_announced_admission,
@@ -61,6 +67,7 @@
     """All parts of a node.
 
     :param account: memory held for the HTTP connections of the process.
+    :param count: accepted connections of the process.
     :param replica: set when the process holds a replica.
     """
 
@@ -84,6 +91,7 @@
     inbound: HttpServer
     outbound: HttpServer
     account: MemoryAccount
+    count: ConnectionCount
     tls: TlsContexts | None
     replica: ReplicaService | None
 
@@ -171,6 +179,7 @@
         admission = create_announced_admission()
         web_limits = _create_web_limits(settings)
         account = create_memory_account(MemoryLimits(settings.limits.memory_mb))
+        count = ConnectionCount(count_allowed_descriptors())
         backend = create_backend(
             _create_http_client(settings, web_limits),
             _Announcer(admission, membership, holder, links).take,
@@ -191,7 +200,9 @@
         gateway = create_gateway(pipeline, copy, backend, metrics)
 
         def create_server(handler) -> HttpServer:
-            return _create_http_server(settings, handler, web_limits, metrics, account)
+            return _create_http_server(
+                settings, handler, web_limits, metrics, account, count
+            )
 
         return NodeParts(
             settings=settings,
@@ -214,6 +225,7 @@
             inbound=create_server(gateway.handle_inbound),
             outbound=create_server(gateway.handle_outbound),
             account=account,
+            count=count,
             tls=tls,
             replica=replica,
         )
@@ -355,6 +367,7 @@
     limits: WebLimits,
     metrics: NodeMetrics,
     account: MemoryAccount,
+    count: ConnectionCount,
 ) -> HttpServer:
     if settings.http.server == "hypercorn":
         from coltsfootspar.web.hypercorn import (  # noqa: PLC0415
@@ -367,4 +380,5 @@
         limits,
         lambda code: metrics.http_errors.inc({"code": code}),
         account,
+        count,
     )
--- a/src/coltsfootspar/node/program.py
+++ b/src/coltsfootspar/node/program.py
@@ -80,6 +80,7 @@
             WebLimits(connections=parts.settings.limits.connections),
             lambda code: parts.metrics.http_errors.inc({"code": code}),
             parts.account,
+            parts.count,
         )
 
     async def _serve_peers(self, task_status: trio.TaskStatus) -> None:
--- a/src/coltsfootspar/node/tests/test_crowds.py
+++ b/src/coltsfootspar/node/tests/test_crowds.py
@@ -3,6 +3,8 @@
 They guard against clients that end a process by what it holds for them.
 """
 
+import resource
+
 import attrs
 import pytest
 import trio
@@ -35,6 +37,8 @@
 )
 # Addresses that crowds press.
 _INBOUND, _NODE_ADMIN, _REPLICA_ADMIN = "inbound", "node-admin", "replica-admin"
+_NODE_PEER, _REPLICA_PEER = "node-peer", "replica-peer"
+_REPLICA_DOORS = (_REPLICA_ADMIN, _REPLICA_PEER)
 _ROWS = [{"row": "specs POST /specs/{id}", "column": "importance", "value": 5}]
 # The crowd and the bounds. A process without clients takes about 75 MB.
 MEMORY_MB = 160
@@ -42,6 +46,7 @@
 CLIENTS = 80
 BODY_BYTES = 2_000_000
 ODD_CLIENTS = 240
+SILENT_CLIENTS = 600
 _HEAD = b"POST /specs/1 HTTP/1.1\r\nHost: specs\r\n"
 _ECHO_HEAD = b"POST /specs/echo HTTP/1.1\r\nHost: specs\r\n"
 _EDIT_HEAD = b"POST /table/edits HTTP/1.1\r\nHost: specs\r\n"
@@ -71,7 +76,7 @@
 @pytest.fixture
 def deployment(tmp_path, door):
     # A replica that is pressed has a process of its own.
-    host = attrs.evolve(_HOST, holds_replica=door != _REPLICA_ADMIN)
+    host = attrs.evolve(_HOST, holds_replica=door not in _REPLICA_DOORS)
     limits = {"body_bytes": 4_000_000, "memory_mb": MEMORY_MB}
     replica_options = {"limits": {"memory_mb": MEMORY_MB}}
     with create_deployment(
@@ -139,6 +144,27 @@
         assert b" 200 " in answer[:20], (shape, answer[:200])
 
 
+@pytest.fixture
+def few_descriptors():
+    """Starts processes whose system allows them few descriptors."""
+    before = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (DESCRIPTORS, before[1]))
+    yield lambda: resource.setrlimit(resource.RLIMIT_NOFILE, before)
+    resource.setrlimit(resource.RLIMIT_NOFILE, before)
+
+
+@pytest.mark.crowd
+@pytest.mark.parametrize(
+    "door", (_INBOUND, _NODE_ADMIN, _NODE_PEER, _REPLICA_ADMIN, _REPLICA_PEER)
+)
+async def test_silent_connections_leave_descriptors(few_descriptors, deployment, door):
+    """Guards against connections without a request that take all descriptors."""
+    # Only the processes have few, not their clients.
+    few_descriptors()
+    crowd = OddCrowd((OddKind.SILENT,), _HEAD, b"", SILENT_CLIENTS)
+    await _press(deployment, crowd, door)
+
+
 def _create_odd_crowd(kinds: tuple[OddKind, ...], head: bytes) -> OddCrowd:
     return OddCrowd(kinds, head, head + b"Content-Length: 0\r\n\r\n", ODD_CLIENTS)
 
@@ -146,11 +172,16 @@
 async def _press(deployment, crowd: Crowd | OddCrowd, door: str = _INBOUND) -> None:
     """Lets a crowd press, and checks the process and ordinary requests."""
     node_id, replica_id = _HOST.node_id, deployment.replica_ids[0]
-    pressed_id = replica_id if door == _REPLICA_ADMIN else node_id
+    pressed_id = replica_id if door in _REPLICA_DOORS else node_id
     process = deployment.processes[pressed_id]
     inbound = deployment.inbound[node_id]
     admin = deployment.admin[pressed_id]
-    address = parse_address(inbound if door == _INBOUND else admin)
+    addresses = {
+        _INBOUND: inbound,
+        _NODE_PEER: deployment.find_peer_address(node_id),
+        _REPLICA_PEER: deployment.find_peer_address(replica_id),
+    }
+    address = parse_address(addresses.get(door, admin))
     async with trio.open_nursery() as nursery:
         await nursery.start(crowd.press, address)
         answers = [
--- a/src/coltsfootspar/replica/program.py
+++ b/src/coltsfootspar/replica/program.py
@@ -9,7 +9,13 @@
 
 from coltsfootspar.admin import AdminRouter, RawAnswer, create_admin_router
 from coltsfootspar.admin.replicated import TableSource, add_table_paths
-from coltsfootspar.memory import MemoryAccount, MemoryLimits, create_memory_account
+from coltsfootspar.memory import (
+    ConnectionCount,
+    MemoryAccount,
+    MemoryLimits,
+    count_allowed_descriptors,
+    create_memory_account,
+)
 from coltsfootspar.replica.metrics import METRICS_TYPE, create_replica_metrics
 from coltsfootspar.replica.service import ReplicaService, create_replica_service
 from coltsfootspar.replication import (
@@ -123,6 +129,7 @@
             self._create_router(account).handle,
             WebLimits(connections=limits.connections),
             account=account,
+            count=ConnectionCount(count_allowed_descriptors()),
         )
 
     def _create_router(self, account: MemoryAccount) -> AdminRouter:
--- a/src/coltsfootspar/routing/listeners.py
+++ b/src/coltsfootspar/routing/listeners.py
@@ -8,6 +8,7 @@
 from absl import logging
 
 from coltsfootspar.exceptions import FrameError, HandshakeError
+from coltsfootspar.memory import ConnectionCount, count_allowed_descriptors
 from coltsfootspar.routing.links import (
     CallHandler,
     LeavingHandler,
@@ -161,7 +162,7 @@
     leaving_handler: LeavingHandler | None = None,
     ssl_context: ssl.SSLContext | None = None,
     limits: ConnectionLimits | None = None,
-    max_connections: int = MAX_CONNECTIONS,
+    max_connections: int | None = None,
     count_error: ErrorCounter = lambda code: None,
     task_status: trio.TaskStatus[PeerServer] = trio.TASK_STATUS_IGNORED,
 ) -> None:
@@ -179,13 +180,17 @@
         leaves.
     :param ssl_context: wraps the connections in TLS.
     :param limits: limits of each connection.
-    :param max_connections: most open connections; further ones are closed at once.
+    :param max_connections: most open connections; None chooses them by the descriptors
+        that the system allows. Peers without proof are closed for further ones.
     :param count_error: called with an error code for each connection that is
         refused, or closed because of malformed data from the peer.
     :param task_status: receives the server once it listens.
     :raises OSError: when listening on the address fails.
     """
     listeners = await trio.open_tcp_listeners(address.port, host=address.host)
+    if max_connections is None:
+        count = ConnectionCount(count_allowed_descriptors())
+        max_connections = min(MAX_CONNECTIONS, count.most_of_peers)
     port = listeners[0].socket.getsockname()[1]
     server = PeerServer(
         Address(address.host, port),
--- a/src/coltsfootspar/web/server.py
+++ b/src/coltsfootspar/web/server.py
@@ -14,7 +14,13 @@
     TooLargeError,
     WebError,
 )
-from coltsfootspar.memory import Holding, MemoryAccount, create_memory_account
+from coltsfootspar.memory import (
+    ConnectionCount,
+    Holding,
+    MemoryAccount,
+    count_allowed_descriptors,
+    create_memory_account,
+)
 from coltsfootspar.web.headers import drop_hop_headers
 from coltsfootspar.web.interfaces import (
     HttpHandler,
@@ -35,6 +41,8 @@
 _ANSWER_COPIES = 2
 # Most bytes that are sent before the progress of the client is noted.
 _SEND_PIECE_BYTES = 32 << 10
+# Time without input after which a request that is incomplete counts as stalled.
+_STALL_SECONDS = 1.0
 # Memory of a header line beside its content, and copies of that, while its request is
 # served.
 _HEADER_BYTES = 640
@@ -54,6 +62,7 @@
     _limits: WebLimits
     _count_error: ErrorCounter
     account: MemoryAccount
+    count: ConnectionCount
     # In the order of their acceptance.
     _connections: dict["_ServerConnection", None] = attrs.field(factory=dict)
     _listener_scope: trio.CancelScope = attrs.field(factory=trio.CancelScope)
@@ -82,7 +91,7 @@
         self._is_draining = True
         self._listener_scope.cancel()
         for connection in list(self._connections):
-            connection.close_if_idle()
+            connection.close_idle()
         while self._connections:
             self._idle = trio.Event()
             await self._idle.wait()
@@ -97,19 +106,22 @@
             stream, self._handler, self._limits, self._count_error, self
         )
         self._connections[connection] = None
+        self.count.add(connection)
         try:
             await connection.run()
         finally:
             del self._connections[connection]
+            self.count.discard(connection)
             if not self._connections:
                 self._idle.set()
             await trio.aclose_forcefully(stream)
 
     def _has_room(self) -> bool:
-        """Tells whether a connection may be opened; may close an idle one for it."""
-        if len(self._connections) < self._limits.connections:
-            return True
-        return any(connection.close_if_idle() for connection in self._connections)
+        """Tells whether a connection may be opened; may close others for it."""
+        is_full = len(self._connections) >= self._limits.connections
+        if is_full and not any(item.close_idle() for item in self._connections):
+            return False
+        return self.count.has_room(is_peer=False)
 
     @property
     def is_draining(self) -> bool:
@@ -119,13 +131,18 @@
 
 @attrs.define(eq=False)
 class _ServerConnection:
-    """One connection: a task that reads and one that serves."""
+    """One connection: a task that reads and one that serves.
+
+    :param waiting_since: start of the idle time, trio clock, seconds.
+    """
 
     _stream: trio.SocketStream
     _handler: HttpHandler
     _limits: WebLimits
     _count_error: ErrorCounter
     _server: H11Server
+    waiting_since: float = attrs.field(factory=trio.current_time)
+    _received_at: float = attrs.field(factory=trio.current_time)
     _http: h11.Connection = attrs.field(init=False)
     _arrived: trio.Event = attrs.field(factory=trio.Event)
     _consumed: trio.Event = attrs.field(factory=trio.Event)
@@ -157,17 +174,38 @@
             if scope is not None:
                 scope.cancel()
 
-    def close_if_idle(self) -> bool:
+    @property
+    def is_idle(self) -> bool:
+        """True while no byte of a request has been received."""
+        return not self._is_serving and not self._scope.cancel_called
+
+    def close_idle(self) -> bool:
         """Ends the connection unless a request is being served or waits unread.
 
         :returns: true when it is being closed.
         """
-        is_ending = self._scope.cancel_called
-        if is_ending or self._is_serving or self._has_unread_input():
+        if not self.is_idle or self._has_unread_input():
             return False
         self._scope.cancel()
         return True
 
+    def close_stalled(self, now: float) -> bool:
+        """Ends a request whose client neither sends it on nor reads its answer.
+
+        :param now: trio clock, seconds.
+        :returns: true when the connection is being closed.
+        """
+        if self._is_evicted or not self._is_stalled(now):
+            return False
+        self._evict()
+        return True
+
+    def _is_stalled(self, now: float) -> bool:
+        if self._send_scope is not None:
+            return self._holding.is_stalled(now)
+        is_reading = self._read_scope is not None
+        return is_reading and now - self._received_at > _STALL_SECONDS
+
     def _has_unread_input(self) -> bool:
         if self._http.trailing_data[0]:
             return True
@@ -192,6 +230,7 @@
             except (trio.BrokenResourceError, trio.ClosedResourceError):
                 data = b""
             self._is_closed = not data
+            self._received_at = trio.current_time()
             self._feed(data)
             # It would stay in memory while the next input is waited for.
             del data
@@ -231,6 +270,7 @@
                 self._input_holding.is_settled = False
                 self._http.start_next_cycle()
                 self._is_serving = False
+                self.waiting_since = trio.current_time()
         except (h11.RemoteProtocolError, TooLargeError, WebError) as error:
             # Its frames refer to the request.
             rejected = error.with_traceback(None)
@@ -251,7 +291,9 @@
             head = await self._next_event()
             if not isinstance(head, h11.Request):
                 return None
-            return await self._read_body(head)
+            request = await self._read_body(head)
+            self._read_scope = None
+            return request
         if self._is_evicted:
             raise OutOfMemoryError("no memory for the body")
         raise MalformedRequestError(
@@ -423,13 +465,19 @@
     limits: WebLimits | None = None,
     count_error: ErrorCounter = lambda code: None,
     account: MemoryAccount | None = None,
+    count: ConnectionCount | None = None,
 ) -> HttpServer:
     """Creates a server on h11.
 
     :param handler: answers one request; cancelled when the client goes away.
     :param count_error: called with an error code for each rejected connection.
     :param account: memory held for the connections of the process.
+    :param count: accepted connections of the process.
     """
     return H11Server(
-        handler, limits or WebLimits(), count_error, account or create_memory_account()
+        handler,
+        limits or WebLimits(),
+        count_error,
+        account or create_memory_account(),
+        count or ConnectionCount(count_allowed_descriptors()),
     )
