Count long bodies that the product's nodes receive from each other

Crowds of 80 clients with bodies of 2 MB at each of six nodes, all for the server of a seventh, brought that one to 189.0 MB with a bound of 160 MB: each node bounds what its own clients hold, and nobody counted what arrives from other nodes.

A body of several frames counts three times its size in the account of the process until its request is served. While it is received it may have to give way: the rest is ignored and the request is refused as not run (busy), so its sender tries the next node or answers 503. The listener for other nodes takes the limit on bodies from the settings, as the links to them did; it had the default.

The test fails before this change and passes now.

--- a/src/coltsfootspar/node/assembly.py
+++ b/src/coltsfootspar/node/assembly.py
@@ -66,7 +66,8 @@
 class NodeParts:
     """All parts of a node.
 
-    :param account: memory held for the HTTP connections of the process.
+    :param peer_limits: limits of each connection to or from another node.
+    :param account: memory held for the connections of the process.
     :param count: accepted connections of the process.
     :param replica: set when the process holds a replica.
     """
@@ -90,6 +91,7 @@
     spans: SpanCollector
     inbound: HttpServer
     outbound: HttpServer
+    peer_limits: ConnectionLimits
     account: MemoryAccount
     count: ConnectionCount
     tls: TlsContexts | None
@@ -150,13 +152,16 @@
         membership = self._create_membership(timers)
         directory = create_noticed_directory(membership)
         holder: list[Pipeline] = []
+        account = create_memory_account(MemoryLimits(settings.limits.memory_mb))
+        count = ConnectionCount(count_allowed_descriptors())
+        peer_limits = self._create_peer_limits(account)
         links = create_peer_links(
             self._create_identity(settings.node.id, "node"),
             self._resolve(membership),
             local_handler=lambda request: holder[0].serve(request),
             leaving_handler=directory.mark_leaving,
             ssl_context=tls.client if tls else None,
-            limits=self._create_connection_limits(),
+            limits=peer_limits,
         )
         replica = await self._create_replica(stack, links, timers, tls)
         link: ReplicaLink = links
@@ -178,8 +183,6 @@
         copy = create_table_copy()
         admission = create_announced_admission()
         web_limits = _create_web_limits(settings)
-        account = create_memory_account(MemoryLimits(settings.limits.memory_mb))
-        count = ConnectionCount(count_allowed_descriptors())
         backend = create_backend(
             _create_http_client(settings, web_limits),
             _Announcer(admission, membership, holder, links).take,
@@ -224,6 +227,7 @@
             spans=create_span_collector(tracer, membership, links),
             inbound=create_server(gateway.handle_inbound),
             outbound=create_server(gateway.handle_outbound),
+            peer_limits=peer_limits,
             account=account,
             count=count,
             tls=tls,
@@ -234,9 +238,11 @@
         key = bytes.fromhex(self._settings.shared_key)
         return Identity(self._settings.deployment, process_id, role, key)
 
-    def _create_connection_limits(self) -> ConnectionLimits:
+    def _create_peer_limits(self, account: MemoryAccount) -> ConnectionLimits:
         body = self._settings.limits.body_bytes
-        return ConnectionLimits(message_bytes=body + _FRAME_MARGIN_BYTES)
+        return ConnectionLimits(
+            message_bytes=body + _FRAME_MARGIN_BYTES, account=account
+        )
 
     def _create_membership(self, timers: TimerService) -> Membership:
         settings = self._settings
--- a/src/coltsfootspar/node/program.py
+++ b/src/coltsfootspar/node/program.py
@@ -92,6 +92,7 @@
             message_handler=parts.handle_message,
             leaving_handler=parts.directory.mark_leaving,
             ssl_context=parts.tls.server if parts.tls else None,
+            limits=parts.peer_limits,
             count_error=lambda code: parts.metrics.peer_errors.inc({"code": code}),
             task_status=task_status,
         )
--- a/src/coltsfootspar/node/tests/test_crowds.py
+++ b/src/coltsfootspar/node/tests/test_crowds.py
@@ -3,6 +3,7 @@
 They guard against clients that end a process by what it holds for them.
 """
 
+import contextlib
 import resource
 
 import attrs
@@ -47,6 +48,8 @@
 BODY_BYTES = 2_000_000
 ODD_CLIENTS = 240
 SILENT_CLIENTS = 600
+# Nodes of another service, each with such a crowd.
+OTHER_NODES = 6
 _HEAD = b"POST /specs/1 HTTP/1.1\r\nHost: specs\r\n"
 _ECHO_HEAD = b"POST /specs/echo HTTP/1.1\r\nHost: specs\r\n"
 _EDIT_HEAD = b"POST /table/edits HTTP/1.1\r\nHost: specs\r\n"
@@ -73,14 +76,12 @@
     return _INBOUND
 
 
-@pytest.fixture
-def deployment(tmp_path, door):
-    # A replica that is pressed has a process of its own.
-    host = attrs.evolve(_HOST, holds_replica=door not in _REPLICA_DOORS)
+@contextlib.contextmanager
+def _open_deployment(folder, hosts):
     limits = {"body_bytes": 4_000_000, "memory_mb": MEMORY_MB}
     replica_options = {"limits": {"memory_mb": MEMORY_MB}}
     with create_deployment(
-        tmp_path, [host], replica_options=replica_options, limits=limits
+        folder, hosts, replica_options=replica_options, limits=limits
     ) as deployment:
         deployment.start_all()
         wait_for(
@@ -90,6 +91,14 @@
         yield deployment
 
 
+@pytest.fixture
+def deployment(tmp_path, door):
+    # A replica that is pressed has a process of its own.
+    host = attrs.evolve(_HOST, holds_replica=door not in _REPLICA_DOORS)
+    with _open_deployment(tmp_path, [host]) as deployment:
+        yield deployment
+
+
 def _is_served(deployment) -> bool:
     address = deployment.inbound[_HOST.node_id]
     headers = {"Host": "specs"}
@@ -144,6 +153,25 @@
         assert b" 200 " in answer[:20], (shape, answer[:200])
 
 
+@pytest.mark.crowd
+async def test_crowds_at_other_nodes_leave_the_process_alive(tmp_path):
+    """Guards against large bodies that many nodes send to the node of one server."""
+    others = [
+        HostPlan(f"other-{i}", "other", behaviours=({"prefix": "/"},))
+        for i in range(OTHER_NODES)
+    ]
+    with _open_deployment(tmp_path, [_HOST, *others]) as deployment:
+        async with trio.open_nursery() as nursery:
+            async with trio.open_nursery() as starts:
+                for other in others:
+                    address = parse_address(deployment.inbound[other.node_id])
+                    kind = CrowdKind.ANSWER_UNREAD
+                    crowd = Crowd(kind, _ECHO_HEAD, CLIENTS, BODY_BYTES)
+                    starts.start_soon(nursery.start, crowd.press, address)
+            await _check(deployment, _HOST.node_id)
+            nursery.cancel_scope.cancel()
+
+
 @pytest.fixture
 def few_descriptors():
     """Starts processes whose system allows them few descriptors."""
@@ -173,27 +201,31 @@
     """Lets a crowd press, and checks the process and ordinary requests."""
     node_id, replica_id = _HOST.node_id, deployment.replica_ids[0]
     pressed_id = replica_id if door in _REPLICA_DOORS else node_id
-    process = deployment.processes[pressed_id]
-    inbound = deployment.inbound[node_id]
-    admin = deployment.admin[pressed_id]
     addresses = {
-        _INBOUND: inbound,
+        _INBOUND: deployment.inbound[node_id],
         _NODE_PEER: deployment.find_peer_address(node_id),
         _REPLICA_PEER: deployment.find_peer_address(replica_id),
     }
-    address = parse_address(addresses.get(door, admin))
+    address = parse_address(addresses.get(door, deployment.admin[pressed_id]))
     async with trio.open_nursery() as nursery:
         await nursery.start(crowd.press, address)
-        answers = [
-            await send_ordinary(parse_address(inbound), _ORDINARY),
-            await send_ordinary(parse_address(admin), _HEALTH),
-        ]
-        assert process.poll() is None, "the process has ended"
-        peak_mb = read_peak_memory(process.pid) / 1e6
-        descriptors = count_descriptors(process.pid)
-        assert (peak_mb <= MEMORY_MB, descriptors <= DESCRIPTORS) == (True, True), (
-            f"{peak_mb:.1f} MB, {descriptors} descriptors"
-        )
-        for answer in answers:
-            assert b" 200 " in answer[:20], answer[:200]
+        await _check(deployment, pressed_id)
         nursery.cancel_scope.cancel()
+
+
+async def _check(deployment, process_id: str) -> None:
+    """Checks that a process lives within its bounds and that callers are served."""
+    process = deployment.processes[process_id]
+    inbound = deployment.inbound[_HOST.node_id]
+    answers = [
+        await send_ordinary(parse_address(inbound), _ORDINARY),
+        await send_ordinary(parse_address(deployment.admin[process_id]), _HEALTH),
+    ]
+    assert process.poll() is None, "the process has ended"
+    peak_mb = read_peak_memory(process.pid) / 1e6
+    descriptors = count_descriptors(process.pid)
+    assert (peak_mb <= MEMORY_MB, descriptors <= DESCRIPTORS) == (True, True), (
+        f"{peak_mb:.1f} MB, {descriptors} descriptors"
+    )
+    for answer in answers:
+        assert b" 200 " in answer[:20], answer[:200]
--- a/src/coltsfootspar/wire/connection.py
+++ b/src/coltsfootspar/wire/connection.py
@@ -9,6 +9,7 @@
 from absl import logging
 
 from coltsfootspar.exceptions import ColtsfootsparError, FrameError, LinkError
+from coltsfootspar.memory import Holding, MemoryAccount
 from coltsfootspar.wire.frames import (
     BODY_CHUNK_BYTES,
     MAX_FRAME_BYTES,
@@ -33,6 +34,8 @@
 ]
 
 _RECEIVE_BYTES = 64 << 10
+# Copies of a long body of a request while it is received, decoded and served.
+_BODY_COPIES = 3
 _schema = load_schema("wire")
 
 
@@ -48,6 +51,8 @@
         keeps the state of devices between the two ends alive.
     :param message_bytes: largest body of a message.
     :param requests: most requests of the peer in progress.
+    :param account: memory held for the connections of the process; None counts no
+        messages.
     """
 
     heartbeat: float = 0.75
@@ -55,6 +60,7 @@
     idle_heartbeat: float = 5.0
     message_bytes: int = 16 << 20
     requests: int = 2048
+    account: MemoryAccount | None = None
 
 
 Handler = Callable[[Message, Peer], Awaitable[Message]]
@@ -71,10 +77,39 @@
 
 @attrs.define(eq=False)
 class _Partial:
+    """A message of which the body has not been received completely.
+
+    :param received_bytes: size of the body received so far.
+    :param holding: memory held for a body of several frames.
+    :param is_dropped: true once the message had to give way to others.
+    """
+
     kind: FrameKind
     flags: FrameFlag
     payload: bytes
     body: bytearray = attrs.field(factory=bytearray)
+    received_bytes: int = 0
+    holding: Holding | None = None
+    is_dropped: bool = False
+
+    def add(self, data: bytes) -> None:
+        """Adds a part of the body, unless the message was dropped."""
+        self.received_bytes += len(data)
+        if self.is_dropped:
+            return
+        self.body += data
+        if self.holding is not None:
+            self.holding.charge(_BODY_COPIES * len(data))
+
+    def drop(self) -> None:
+        """Frees the body; the rest of it is ignored."""
+        self.is_dropped = True
+        self.body = bytearray()
+
+    def close(self) -> None:
+        """Counts the message no longer."""
+        if self.holding is not None:
+            self.holding.close()
 
 
 @attrs.define(eq=False)
@@ -98,6 +133,8 @@
     _pending: dict[int, _Pending] = attrs.field(factory=dict)
     _partials: dict[tuple[int, bool], _Partial] = attrs.field(factory=dict)
     _serving: dict[int, trio.CancelScope] = attrs.field(factory=dict)
+    # Memory held for the requests that are being served, by correlation.
+    _holdings: dict[int, Holding] = attrs.field(factory=dict)
     _requested: trio.Event = attrs.field(factory=trio.Event)
     _last_received: float = attrs.field(factory=trio.current_time)
     failure: FrameError | None = None
@@ -143,7 +180,7 @@
             raise
         finally:
             self._pending.pop(correlation, None)
-            self._partials.pop((correlation, True), None)
+            self._drop_partial(correlation, is_reply=True)
         if pending.error is not None:
             raise pending.error
         return pending.reply
@@ -171,6 +208,8 @@
         self._fail_pending(reason)
         for scope in self._serving.values():
             scope.cancel()
+        for correlation, is_reply in list(self._partials):
+            self._drop_partial(correlation, is_reply=is_reply)
         with trio.CancelScope(shield=True, deadline=trio.current_time() + 1):
             await trio.aclose_forcefully(self._stream)
 
@@ -283,9 +322,9 @@
             scope = self._serving.get(frame.correlation)
             if scope is not None:
                 scope.cancel()
-            self._partials.pop((frame.correlation, False), None)
+            self._drop_partial(frame.correlation, is_reply=False)
         elif frame.kind is not FrameKind.PONG and not self._is_late(frame):
-            whole = self._assemble(frame)
+            whole = self._assemble(frame, nursery)
             if whole is not None:
                 self._deliver(frame, whole, nursery)
 
@@ -294,7 +333,20 @@
         is_reply = bool(frame.flags & FrameFlag.REPLY)
         return is_reply and frame.correlation not in self._pending
 
-    def _assemble(self, frame: Frame) -> Message | None:
+    def _drop_partial(self, correlation: int, *, is_reply: bool) -> None:
+        partial = self._partials.pop((correlation, is_reply), None)
+        if partial is not None:
+            partial.close()
+
+    def _open_holding(self, partial: _Partial) -> None:
+        """Begins to count a message; a request may give way to others."""
+        account = self._limits.account
+        if account is None:
+            return
+        partial.holding = account.open(partial.drop)
+        partial.holding.is_settled = bool(partial.flags & FrameFlag.REPLY)
+
+    def _assemble(self, frame: Frame, nursery: trio.Nursery) -> Message | None:
         key = (frame.correlation, bool(frame.flags & FrameFlag.REPLY))
         has_more = bool(frame.flags & FrameFlag.MORE)
         if frame.kind is not FrameKind.BODY:
@@ -305,14 +357,42 @@
         partial = self._partials.get(key)
         if partial is None:
             raise FrameError("body frame without a message")
-        partial.body += frame.payload
-        if len(partial.body) > self._limits.message_bytes:
+        if has_more and partial.holding is None:
+            self._open_holding(partial)
+        partial.add(frame.payload)
+        if partial.received_bytes > self._limits.message_bytes:
             raise FrameError(f"message exceeds {self._limits.message_bytes} bytes")
         if has_more:
             return None
         del self._partials[key]
+        return self._complete(frame, partial, nursery)
+
+    def _complete(
+        self, frame: Frame, partial: _Partial, nursery: trio.Nursery
+    ) -> Message | None:
+        """Returns a message whose body is complete; refuses one that was dropped."""
+        if partial.is_dropped:
+            partial.close()
+            self._refuse(frame, "no memory for the body", nursery)
+            return None
+        if partial.flags & FrameFlag.REPLY or not frame.correlation:
+            partial.close()
+        elif partial.holding is not None:
+            partial.holding.is_settled = True
+            self._holdings[frame.correlation] = partial.holding
         return Message(partial.kind, partial.payload, bytes(partial.body))
 
+    def _refuse(self, frame: Frame, reason: str, nursery: trio.Nursery) -> None:
+        """Tells the peer that a request has not run."""
+        self._release(frame.correlation)
+        error = _create_error_message("busy", reason, False)
+        nursery.start_soon(self._reply, error, frame.correlation)
+
+    def _release(self, correlation: int) -> None:
+        holding = self._holdings.pop(correlation, None)
+        if holding is not None:
+            holding.close()
+
     def _deliver(self, frame: Frame, message: Message, nursery: trio.Nursery) -> None:
         if frame.flags & FrameFlag.REPLY:
             self._resolve(frame.correlation, message)
@@ -320,8 +400,7 @@
             if self._notice_handler is not None:
                 self._notice_handler(message, self.peer)
         elif len(self._serving) >= self._limits.requests:
-            error = _create_error_message("busy", "too many requests", False)
-            nursery.start_soon(self._reply, error, frame.correlation)
+            self._refuse(frame, "too many requests", nursery)
         else:
             scope = trio.CancelScope()
             self._serving[frame.correlation] = scope
@@ -351,6 +430,7 @@
                 await self._reply(reply, correlation)
         finally:
             self._serving.pop(correlation, None)
+            self._release(correlation)
 
     async def _handle(self, message: Message) -> Message:
         if self._handler is None:
