Read the change once more: short answers, unlimited descriptors, replaced messages

A short answer of the product's node no longer gives way when the process holds all it may: its own charge could have made it the youngest holding. A system without a limit on descriptors counts as one with a million of them, not as one with -1. A message that another one of the same number replaces on a link counts no longer. Progress of a client is one time for what it sends and what it takes.

--- a/src/coltsfootspar/memory/openings.py
+++ b/src/coltsfootspar/memory/openings.py
@@ -1,6 +1,7 @@
 """Count of the accepted connections of a process, kept below its descriptors."""
 
 import resource
+from collections.abc import Callable
 from typing import Protocol
 
 import attrs
@@ -17,11 +18,14 @@
 _CLOSED_SHARE = 0.05
 # Connections above their share while those that make room are being closed.
 _CLOSING_SHARE = 0.02
+# Of a system without a limit.
+_MANY_DESCRIPTORS = 1 << 20
 
 
 def count_allowed_descriptors() -> int:
     """Returns the most descriptors that the system allows this process."""
-    return resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+    limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return _MANY_DESCRIPTORS if limit == resource.RLIM_INFINITY else limit
 
 
 class Openable(Protocol):
@@ -100,23 +104,30 @@
         """Closes some idle connections and returns their number."""
         idle = [connection for connection in self._connections if connection.is_idle]
         idle.sort(key=lambda connection: connection.waiting_since)
-        wanted = 1 + int(len(idle) * _CLOSED_SHARE)
-        closed = 0
-        for connection in idle:
-            if closed == wanted:
-                break
-            closed += connection.close_idle()
+        closed = _close_some(idle, lambda connection: connection.close_idle())
         self.closed_idle += closed
         return closed
 
     def _close_stalled(self) -> int:
         """Closes some stalled connections and returns their number."""
         now = trio.current_time()
-        wanted = 1 + int(len(self._connections) * _CLOSED_SHARE)
-        closed = 0
-        for connection in list(self._connections):
-            if closed == wanted:
-                break
-            closed += connection.close_stalled(now)
+        connections = list(self._connections)
+        closed = _close_some(
+            connections, lambda connection: connection.close_stalled(now)
+        )
         self.closed_stalled += closed
         return closed
+
+
+def _close_some(connections: list[Openable], close: Callable[[Openable], bool]) -> int:
+    """Closes a share of connections, and returns the number of those closed.
+
+    :param close: closes a connection if it may; returns whether it does.
+    """
+    wanted = 1 + int(len(connections) * _CLOSED_SHARE)
+    closed = 0
+    for connection in connections:
+        if closed == wanted:
+            break
+        closed += close(connection)
+    return closed
--- a/src/coltsfootspar/web/server.py
+++ b/src/coltsfootspar/web/server.py
@@ -41,7 +41,8 @@
 _ANSWER_COPIES = 2
 # Most bytes that are sent before the progress of the client is noted.
 _SEND_PIECE_BYTES = 32 << 10
-# Time without input after which a request that is incomplete counts as stalled.
+# Time without progress after which an incomplete request, or an answer that is being
+# sent, counts as stalled.
 _STALL_SECONDS = 1.0
 # Memory of a header line beside its content, and copies of that, while its request is
 # served.
@@ -134,6 +135,7 @@
     """One connection: a task that reads and one that serves.
 
     :param waiting_since: start of the idle time, trio clock, seconds.
+    :param _progress_at: when the client last sent or took data, trio clock, seconds.
     """
 
     _stream: trio.SocketStream
@@ -142,7 +144,7 @@
     _count_error: ErrorCounter
     _server: H11Server
     waiting_since: float = attrs.field(factory=trio.current_time)
-    _received_at: float = attrs.field(factory=trio.current_time)
+    _progress_at: float = attrs.field(factory=trio.current_time)
     _http: h11.Connection = attrs.field(init=False)
     _arrived: trio.Event = attrs.field(factory=trio.Event)
     _consumed: trio.Event = attrs.field(factory=trio.Event)
@@ -201,10 +203,8 @@
         return True
 
     def _is_stalled(self, now: float) -> bool:
-        if self._send_scope is not None:
-            return self._holding.is_stalled(now)
-        is_reading = self._read_scope is not None
-        return is_reading and now - self._received_at > _STALL_SECONDS
+        is_waiting = self._read_scope is not None or self._send_scope is not None
+        return is_waiting and now - self._progress_at > _STALL_SECONDS
 
     def _has_unread_input(self) -> bool:
         if self._http.trailing_data[0]:
@@ -230,7 +230,7 @@
             except (trio.BrokenResourceError, trio.ClosedResourceError):
                 data = b""
             self._is_closed = not data
-            self._received_at = trio.current_time()
+            self._progress_at = trio.current_time()
             self._feed(data)
             # It would stay in memory while the next input is waited for.
             del data
@@ -401,12 +401,15 @@
         :param scope: cancelled when the answer has to give way to others.
         """
         holding, self._send_scope = self._holding, scope
-        holding.is_settled = False
+        self._progress_at = trio.current_time()
+        # A short one is sent even when the process holds all it may.
+        holding.is_settled = len(data) <= _SEND_PIECE_BYTES
         holding.charge(_ANSWER_COPIES * len(data))
         for start in range(0, len(data), _SEND_PIECE_BYTES):
             piece = data[start : start + _SEND_PIECE_BYTES]
             await self._stream.send_all(piece)
-            holding.record_progress(len(piece), trio.current_time())
+            self._progress_at = trio.current_time()
+            holding.record_progress(len(piece), self._progress_at)
         self._send_scope = None
 
     async def _reject(self, error: Exception) -> None:
--- a/src/coltsfootspar/wire/connection.py
+++ b/src/coltsfootspar/wire/connection.py
@@ -352,6 +352,7 @@
         if frame.kind is not FrameKind.BODY:
             if not has_more:
                 return Message(frame.kind, frame.payload)
+            self._drop_partial(frame.correlation, is_reply=key[1])
             self._partials[key] = _Partial(frame.kind, frame.flags, frame.payload)
             return None
         partial = self._partials.get(key)
