--- a/src/coltsfootspar/fleet/offers.py
+++ b/src/coltsfootspar/fleet/offers.py
@@ -28,7 +28,7 @@
 async def load_seats(seats: SeatMap, disk: Disk) -> None:
     """Loads the saved addresses of the holders into a map, if there are any."""
     if _FILE_NAME in await disk.list_files():
-        seats.update(await load_document(disk, _FILE_NAME))
+        seats.addresses.update(await load_document(disk, _FILE_NAME))
 
 
 async def save_seats(seats: SeatMap, disk: Disk) -> None:
@@ -69,14 +69,15 @@
         if core.role is Role.LEADER and core.is_current:
             serve = self._note_leaving if request.is_leaving else self._offer_seat
             seat = serve(request)
-        leader = core.leader_id or ""
-        leader_address = self._map.addresses.get(leader, "")
+        state = core.state
         return JoinReply(
             seat,
-            leader_address,
-            core.state.seats,
-            core.state.index,
+            self._map.addresses.get(core.leader_id or "") or "",
+            state.seats,
+            state.index,
             has_left=seat in self._left,
+            holders=self._map.addresses | state.seats,
+            incarnations={name: state.get_incarnation(name) for name in state.seats},
         )
 
     def find_address(self, seat: str) -> str:
@@ -87,7 +88,7 @@
         offered_to, expires_at = self._offers.get(seat, ("", 0.0))
         if offered_to and expires_at > trio.current_time():
             return offered_to
-        return self._map.addresses.get(seat, "")
+        return self._map.addresses.get(seat) or ""
 
     def _offer_seat(self, request: JoinRequest) -> str:
         now = trio.current_time()
@@ -145,9 +146,11 @@
             _, expires_at = self._offers.get(seat, ("", 0.0))
             silent_seconds = now - core.leader_term.get_last_contact(seat)
             # The map may not hold the latest admissions yet.
-            has_holder = self._map.addresses[seat] or core.state.seats.get(seat)
+            was_never_held = self._map.addresses[seat] == "" and (
+                seat not in core.state.seats
+            )
             is_vacant = (
-                not has_holder
+                was_never_held
                 or silent_seconds > VACANCY_TIMEOUT_SECONDS
                 or self._leaving.get(seat, now) > now
             )
--- a/src/coltsfootspar/fleet/replica.py
+++ b/src/coltsfootspar/fleet/replica.py
@@ -24,6 +24,7 @@
     wait_for_stop_signal,
 )
 from coltsfootspar.fleet.control import ReplicaControl, create_control_handler
+from coltsfootspar.fleet.holders import create_holder_resolver
 from coltsfootspar.fleet.interfaces import ProtocolAdapter
 from coltsfootspar.fleet.metrics import add_memory_metrics, create_fleet_metrics
 from coltsfootspar.fleet.offers import SeatOffers, load_seats, save_seats
@@ -32,6 +33,7 @@
 from coltsfootspar.fleet.seats import (
     SEAT_SERVICE_PREFIX,
     SeatMap,
+    create_expected_seat_map,
     create_seat_map,
     find_seat_holder,
 )
@@ -112,8 +114,8 @@
     adapter: ProtocolAdapter
     membership: Membership
     timers: TimerService
-    seats: SeatMap
     _random: random.Random
+    seats: SeatMap = attrs.field(init=False)
     _may_bootstrap: bool = attrs.field(init=False)
     _is_stopping: bool = False
     _control: RelayServer | None = None
@@ -123,6 +125,7 @@
 
     def __attrs_post_init__(self) -> None:
         self._may_bootstrap = self.settings.is_first_start
+        self.seats = _create_seats(self.settings)
 
     @property
     def address(self) -> Address:
@@ -239,8 +242,12 @@
         """Returns true when a reply shows that another host holds the seat."""
         identity = replica.core.identity
         holder = reply.seats.get(identity.replica_id, "")
-        is_up_to_date = reply.index >= max(identity.admitted_index, 1)
-        return is_up_to_date and bool(holder) and holder != str(self.address)
+        if reply.index < max(identity.admitted_index, 1) or not holder:
+            return False
+        if reply.incarnations:
+            incarnation = reply.incarnations.get(identity.replica_id)
+            return incarnation != identity.incarnation
+        return holder != str(self.address)
 
     def _read_core(self, name: str) -> float:
         return getattr(self._replica.core, name) if self._replica else 0
@@ -311,9 +318,15 @@
         :returns: the offered seat.
         """
         async with trio.open_nursery() as nursery:
+            resolver = create_holder_resolver(
+                lambda seat: (
+                    self.seats.find_address(seat),
+                    find_seat_holder(seat, self.membership),
+                )
+            )
             links = create_peer_links(
                 create_fleet_identity(self.settings, self.settings.id, "client"),
-                self.seats.find_address,
+                resolver.resolve,
             )
             nursery.start_soon(links.run)
             client = create_replication_client(self.seats.names, links, self._random)
@@ -349,7 +362,7 @@
             reply = await self._send_join(address, is_leaving)
             if reply is None:
                 continue
-            self.seats.update(reply.seats)
+            self._learn_seats(reply)
             if reply.replica_id:
                 return reply
             if reply.leader_address and leader_reply is None:
@@ -389,13 +402,9 @@
         unique.pop(self.address, None)
         return list(unique)
 
-    def _find_announced(self, seat: str) -> Address | None:
-        """Returns the address of the host that announces a seat.
-
-        After a power failure, a replica may know of an admission only from entries
-        of its log that are not known to be committed.
-        """
-        return find_seat_holder(seat, self.membership)
+    def _learn_seats(self, reply: JoinReply) -> None:
+        self.seats.update(reply.seats, reply.index)
+        self.seats.add_holders(reply.holders)
 
     @contextlib.asynccontextmanager
     async def _open_disk(self):
@@ -423,12 +432,16 @@
         def find_address_text(name: str) -> str:
             return offers[0].find_address(name) if offers else ""
 
-        def resolve_address(name: str) -> Address | None:
+        def list_addresses(name: str) -> tuple[Address | None, ...]:
             text = find_address_text(name)
-            return parse_address(text) if text else self._find_announced(name)
+            return (
+                parse_address(text) if text else None,
+                find_seat_holder(name, self.membership),
+            )
 
         identity = create_fleet_identity(settings, seat, "replica")
-        links = create_peer_links(identity, resolve_address)
+        resolver = create_holder_resolver(list_addresses)
+        links = create_peer_links(identity, resolver.resolve)
         async with self._open_disk() as disk:
             replica = await create_replica(
                 seat,
@@ -438,6 +451,7 @@
                 timers=self.timers,
                 source=self._random,
                 find_address=find_address_text,
+                address=str(self.address),
                 options=_REPLICA_OPTIONS,
             )
             offers.append(SeatOffers(self.seats, replica, links.reconnect))
@@ -510,7 +524,7 @@
         core = replica.core
         last_check = trio.current_time()
         async for now in self.timers.subscribe(_WATCH_PERIOD_SECONDS):
-            if self.seats.update(core.state.seats):
+            if self.seats.update(core.state.seats, core.state.index):
                 await save_seats(self.seats, disk)
             if core.identity.is_admitted and not self._is_stopping:
                 self.membership.announce(SEAT_SERVICE_PREFIX + seat, 1, 0.0)
@@ -531,7 +545,7 @@
             reply = await self._send_join(address)
             if reply is None:
                 continue
-            self.seats.update(reply.seats)
+            self._learn_seats(reply)
             if core.identity.is_admitted:
                 if self._is_held_by_other(reply, replica):
                     raise _SeatLostError
@@ -539,6 +553,13 @@
                 raise _SeatLostError
 
 
+def _create_seats(settings: FleetReplicaSettings) -> SeatMap:
+    seeds = list_peer_seeds(settings)
+    if settings.is_first_start:
+        return create_seat_map(seeds, settings.host_losses)
+    return create_expected_seat_map(len(seeds), settings.host_losses)
+
+
 async def _remove_files(disk: Disk) -> None:
     for name in await disk.list_files():
         await disk.remove(name)
@@ -565,8 +586,7 @@
         membership = create_fleet_membership(
             settings, port, peer_address, timers, source
         )
-        seats = create_seat_map(list_peer_seeds(settings), settings.host_losses)
-        process = FleetReplica(settings, adapter, membership, timers, seats, source)
+        process = FleetReplica(settings, adapter, membership, timers, source)
         settings_file.on_change = process.apply_settings
         with trio.open_signal_receiver(*HANDLED_SIGNALS) as signals:
             wait_for_signal = functools.partial(
--- a/src/coltsfootspar/fleet/seats.py
+++ b/src/coltsfootspar/fleet/seats.py
@@ -7,6 +7,10 @@
 seats all the same, so that each commit is on a majority of all seats from the first
 one on.
 
+Only the first start derives the map from the seeds. From then on it is replicated: the
+leader records who holds each seat, hosts that join get the map from the others, and
+each replica saves it. Later seeds only say whom to ask first.
+
 A host that joins with an empty disk is offered the seat recorded for its address or,
 failing that, one that was never held or whose replica has stopped answering. The
 replica of the new holder votes and counts towards the quorum only once its admission
@@ -27,6 +31,7 @@
     "SEAT_SERVICE_PREFIX",
     "SeatMap",
     "count_seats",
+    "create_expected_seat_map",
     "create_seat_map",
     "find_seat_holder",
     "list_seats",
@@ -89,10 +94,12 @@
     """Maps seats to the addresses of their last known holders.
 
     :param addresses: peer address of the holder by name of the seat; empty while the
-        seat has never been held.
+        seat has never been held, None when its holder is unknown.
+    :param index: log index up to which the committed holders are known.
     """
 
-    addresses: dict[str, str]
+    addresses: dict[str, str | None]
+    index: int = 0
 
     @property
     def names(self) -> tuple[str, ...]:
@@ -119,11 +126,15 @@
         """Returns the names of the seats that have a known holder."""
         return [seat for seat, address in self.addresses.items() if address]
 
-    def update(self, addresses: dict[str, str]) -> bool:
-        """Replaces addresses by newer ones.
+    def update(self, addresses: dict[str, str], index: int) -> bool:
+        """Takes over the committed holders unless later ones are known.
 
+        :param addresses: address by seat after the entries up to ``index``.
         :returns: true when an address has changed.
         """
+        if index < self.index:
+            return False
+        self.index = index
         if all(
             self.addresses.get(seat) == address for seat, address in addresses.items()
         ):
@@ -131,12 +142,21 @@
         self.addresses.update(addresses)
         return True
 
+    def add_holders(self, holders: dict[str, str | None]) -> None:
+        """Adds seats, and holders of those whose holder is unknown.
+
+        :param holders: last known address by seat, committed or not.
+        """
+        for seat, address in holders.items():
+            if self.addresses.get(seat) is None:
+                self.addresses[seat] = address
+
 
 def create_seat_map(seeds: Sequence[Address], host_losses: int = 1) -> SeatMap:
     """Creates the seat map of a new cluster.
 
-    All hosts derive the same map, since seats are numbered in the order of the
-    sorted addresses.
+    All hosts derive the same map, since they have the same seeds at the first start
+    and seats are numbered in the order of the sorted addresses.
 
     :param seeds: peer addresses of the seeds, which hold the first seats.
     :param host_losses: hosts that may be lost at the same time.
@@ -144,3 +164,12 @@
     holders = sorted(str(seed) for seed in seeds)
     names = name_seats(count_seats(len(holders), host_losses))
     return SeatMap(dict(itertools.zip_longest(names, holders, fillvalue="")))
+
+
+def create_expected_seat_map(seeds: int, host_losses: int) -> SeatMap:
+    """Creates the seat map of a host that has to learn the holders from others.
+
+    :param seeds: number of seeds at this start.
+    :param host_losses: hosts that may be lost at the same time.
+    """
+    return SeatMap(dict.fromkeys(name_seats(count_seats(seeds, host_losses))))
--- a/src/coltsfootspar/fleet/tests/test_cluster.py
+++ b/src/coltsfootspar/fleet/tests/test_cluster.py
@@ -12,11 +12,12 @@
 from coltsfootspar.fleet.common import create_fleet_identity, create_fleet_membership
 from coltsfootspar.fleet.interfaces import RouteChange, RouteQuery
 from coltsfootspar.fleet.replica import FleetReplica
-from coltsfootspar.fleet.seats import create_seat_map
 from coltsfootspar.membership import open_udp_port
 from coltsfootspar.relay import HeaderNames
-from coltsfootspar.replication import create_replication_client
+from coltsfootspar.replication import create_replication_client, open_disk
 from coltsfootspar.replication.commands import ReplaceRoutes
+from coltsfootspar.replication.identity import save_document
+from coltsfootspar.replication.leadership import Leadership
 from coltsfootspar.routes import RouteTable, encode_routes
 from coltsfootspar.routing import create_peer_links
 from coltsfootspar.settings.fleet import FleetReplicaSettings
@@ -98,14 +99,8 @@
                 membership = create_fleet_membership(
                     settings, port, own, timers, source
                 )
-                peers = [Address(seed.host, PEER_PORT) for seed in settings.seeds]
                 process = FleetReplica(
-                    settings,
-                    StubAdapter(),
-                    membership,
-                    timers,
-                    create_seat_map(peers, settings.host_losses),
-                    source,
+                    settings, StubAdapter(), membership, timers, source
                 )
                 self.processes[number] = process
                 await process.run(self.stop_requests[number].wait)
@@ -379,6 +374,84 @@
     assert await cluster.read_version() == 1
 
 
+async def replace_two_hosts(cluster):
+    """Replaces the hosts 1 and 2 by 4 and 5, whose seeds are those of the moment."""
+    await form_cluster(cluster, 3)
+    await cluster.kill(1)
+    await cluster.start(4, seeds=(1, 2, 3))
+    await cluster.wait_admitted(4)
+    await cluster.kill(2)
+    await cluster.start(5, seeds=(2, 3, 4))
+    await cluster.wait_admitted(5)
+
+
+async def test_second_successor_reaches_the_replica_that_was_never_replaced(cluster):
+    """Guards against a successor with all entries that cannot get the third vote.
+
+    It took the seeds of its own start for the first holders of the seats.
+    """
+    await replace_two_hosts(cluster)
+    await cluster.kill(3)
+    assert (await cluster.change_routes(2, 1)).status == "applied"
+    await cluster.kill(4, wipe=True)
+    await cluster.kill(5)
+    for number, seeds in ((3, (1, 2, 3)), (5, (2, 3, 4)), (4, (1, 2, 3))):
+        await cluster.start(number, seeds=seeds)
+    await cluster.wait_admitted(3, 5)
+    assert await cluster.read_version() == 2
+
+
+async def test_each_holder_of_a_new_cluster_is_recorded(cluster):
+    """Guards against a host that joins and learns only of the seats given anew."""
+    await form_cluster(cluster, 3)
+    core = cluster.processes[cluster.find_leader()]._replica.core
+    with trio.fail_after(TIMEOUT_SECONDS):
+        while len(core.state.seats) < 3:  # noqa: ASYNC110
+            await trio.sleep(0.05)
+    addresses = {str(cluster.processes[number].address) for number in (1, 2, 3)}
+    assert set(core.state.seats.values()) == addresses
+
+
+async def test_wrong_saved_address_is_found_in_the_membership(cluster, monkeypatch):
+    """Guards against disks of earlier versions, whose saved holders may be wrong."""
+    monkeypatch.setattr(Leadership, "_record_address", lambda *arguments: None)
+    await form_cluster(cluster, 3)
+    seat = cluster.processes[3]._replica.core.replica_id
+    await cluster.kill(3)
+    assert (await cluster.change_routes(2, 1)).status == "applied"
+    await cluster.kill(1)
+    await cluster.kill(2)
+    disk = open_disk(str(cluster.get_folder(1)))
+    wrong = {"seat-1": "", "seat-2": "", "seat-3": ""} | {seat: "127.9.9.9:9"}
+    await save_document(disk, "seats", wrong)
+    await disk.close()
+    # Only host 1 has the newest entry.
+    await cluster.start(1)
+    await cluster.start(3)
+    await cluster.wait_admitted(1, 3)
+    assert await cluster.read_version() == 2
+
+
+async def test_disk_that_moves_to_another_address_keeps_its_seat(cluster):
+    """Guards against a host that clears its disk, since its seat is recorded at the
+    address that it had."""
+    await form_cluster(cluster, 3)
+    seat = cluster.processes[3]._replica.core.replica_id
+    await cluster.kill(3)
+    cluster.get_folder(3).rename(cluster.get_folder(6))
+    await trio.sleep(0.5)
+    await cluster.start(6, seeds=(1, 2, 3))
+    await cluster.wait_admitted(6)
+    assert (await cluster.change_routes(2, 1)).status == "applied"
+    core = cluster.processes[cluster.find_leader()]._replica.core
+    with trio.fail_after(TIMEOUT_SECONDS):
+        while core.state.seats[seat] != str(cluster.processes[6].address):  # noqa: ASYNC110
+            await trio.sleep(0.05)
+    assert cluster.processes[6]._replica.core.replica_id == seat
+    await cluster.kill(2)
+    assert (await cluster.change_routes(3, 2)).status == "applied"
+
+
 async def test_minority_serves_no_reads(cluster):
     """Guards against a stale read from a replica without a quorum."""
     await form_cluster(cluster, 3)
--- a/src/coltsfootspar/fleet/tests/test_offers.py
+++ b/src/coltsfootspar/fleet/tests/test_offers.py
@@ -5,9 +5,10 @@
 import trio
 
 from coltsfootspar.fleet.offers import SeatOffers
-from coltsfootspar.fleet.seats import create_seat_map
+from coltsfootspar.fleet.seats import create_expected_seat_map, create_seat_map
 from coltsfootspar.replication import Role
 from coltsfootspar.replication.messages import JoinRequest
+from coltsfootspar.replication.state import create_state
 from coltsfootspar.wire import Address
 from coltsfootspar.wire.replication import decode_join_reply, encode_join_reply
 
@@ -19,13 +20,15 @@
     leader_term = types.SimpleNamespace(
         get_last_contact=lambda seat: trio.current_time()
     )
+    state = create_state(index=9)
+    state.seats.update(seats)
     core = types.SimpleNamespace(
         replica_id="seat-1",
         role=Role.LEADER,
         is_current=True,
         leader_id="seat-1",
         leader_term=leader_term,
-        state=types.SimpleNamespace(seats=seats, index=9),
+        state=state,
     )
     replica = types.SimpleNamespace(core=core)
     return SeatOffers(create_seat_map(SEEDS, host_losses=2), replica)
@@ -42,6 +45,19 @@
     assert offered == ["seat-4", "seat-5", "", "seat-4"]
 
 
+async def test_seat_with_an_unknown_holder_is_not_offered(autojump_clock):
+    """Guards against a leader that gives seats away since it was admitted lately."""
+    offers = create_offers({"seat-1": "10.0.0.1:7620"})
+    offers._map = create_expected_seat_map(3, host_losses=2)
+    join = JoinRequest("10.0.0.6:7620", "core-6")
+    assert offers.handle_join(join).replica_id == ""
+    offers._map.add_holders({"seat-4": "", "seat-5": "10.0.0.5:7620"})
+    reply = offers.handle_join(join)
+    assert reply.replica_id == "seat-4"
+    assert decode_join_reply(encode_join_reply(reply)) == reply
+    assert reply.holders["seat-2"] is None
+
+
 async def test_seat_of_a_recent_admission_is_not_offered(autojump_clock):
     """Guards against a new leader that gives a seat away from its working holder."""
     offers = create_offers({"seat-4": "10.0.0.4:7620"})
--- a/src/coltsfootspar/fleet/tests/test_replica_stopping.py
+++ b/src/coltsfootspar/fleet/tests/test_replica_stopping.py
@@ -9,7 +9,6 @@
 from coltsfootspar.fleet.common import create_fleet_membership
 from coltsfootspar.fleet.interfaces import RouteQuery
 from coltsfootspar.fleet.replica import FleetReplica
-from coltsfootspar.fleet.seats import create_seat_map
 from coltsfootspar.membership import open_udp_port
 from coltsfootspar.settings.fleet import FleetReplicaSettings
 from coltsfootspar.timers import create_timer_service
@@ -88,9 +87,8 @@
     address = Address(HOST, settings.peer_port)
     async with open_udp_port(Address(HOST, settings.gossip_port)) as port:
         membership = create_fleet_membership(settings, port, address, timers, source)
-        seats = create_seat_map([Address(HOST, 1)], 0)
         adapter = CountingAdapter()
-        process = FleetReplica(settings, adapter, membership, timers, seats, source)
+        process = FleetReplica(settings, adapter, membership, timers, source)
         async with trio.open_nursery() as nursery:
             yield StoppingReplica(process, adapter, nursery)
             nursery.cancel_scope.cancel()
--- a/src/coltsfootspar/replication/commands.py
+++ b/src/coltsfootspar/replication/commands.py
@@ -107,6 +107,8 @@
 class AdmitReplica:
     """Admits a replica with a new disk to the quorum under its new incarnation.
 
+    With the incarnation that the replica has already, it records the address only.
+
     :param address: address at which it listens; empty when the settings of all
         replicas name it.
     """
--- a/src/coltsfootspar/replication/core.py
+++ b/src/coltsfootspar/replication/core.py
@@ -99,6 +99,8 @@
 
     :param find_address: returns the address of a replica, which the leader
         records with its admission; empty when the settings name the addresses.
+    :param address: address of this replica, which the leader records; empty when the
+        settings name the addresses.
     :param applied_bytes: size of the entries applied since the last snapshot.
     :param last_leader_contact: trio clock at the last request of a leader,
         seconds.
@@ -131,6 +133,7 @@
     state: ReplicatedState
     commit_index: int
     find_address: Callable[[str], str] = lambda replica_id: ""
+    address: str = ""
     applied_bytes: int = 0
     role: Role = Role.FOLLOWER
     leader_id: str | None = None
--- a/src/coltsfootspar/replication/following.py
+++ b/src/coltsfootspar/replication/following.py
@@ -152,4 +152,5 @@
         next_index=next_index,
         incarnation=core.identity.incarnation,
         is_admitted=core.identity.is_admitted,
+        address=core.address,
     )
--- a/src/coltsfootspar/replication/leadership.py
+++ b/src/coltsfootspar/replication/leadership.py
@@ -63,6 +63,7 @@
     :param match_index: last entry that the replica has synced and that equals the
         leader's.
     :param incarnation: incarnation in the last reply, -1 before the first.
+    :param address: address in the last reply; empty when it names none.
     :param request_timeout: timeout of the next request, seconds; doubles after
         each request without a reply, so that requests also succeed over a slow
         link.
@@ -75,6 +76,7 @@
     match_index: int = 0
     incarnation: int = -1
     is_admitted: bool = False
+    address: str = ""
     request_timeout: float = _REQUEST_TIMEOUT_SECONDS
     new_entries: trio.Event = attrs.field(factory=trio.Event)
 
@@ -112,6 +114,8 @@
         # Entries of earlier terms must not be committed by counting replicas. They
         # are committed together with this entry of the new term.
         self._append(NoOperation())
+        core = self._core
+        self._record_address(core.replica_id, core.identity.incarnation, core.address)
         with self._scope:
             async with trio.open_nursery() as nursery:
                 for peer in self._peers.values():
@@ -325,7 +329,7 @@
     def _record_reply(self, peer: _Peer, reply: AppendReply, start: float) -> None:
         if reply.incarnation != peer.incarnation:
             peer.incarnation, peer.match_index = reply.incarnation, 0
-        peer.is_admitted = reply.is_admitted
+        peer.is_admitted, peer.address = reply.is_admitted, reply.address
         if reply.is_accepted:
             peer.match_index = max(peer.match_index, reply.match_index)
             peer.next_index = reply.match_index + 1
@@ -334,6 +338,7 @@
             peer.next_index = max(1, min(reply.next_index, last + 1))
         if self._counts_toward_quorum(peer):
             peer.last_contact = start
+            self._record_address(peer.replica_id, peer.incarnation, peer.address)
         elif not peer.is_admitted:
             self._admit(peer)
         self.advance_commit_index()
@@ -345,10 +350,29 @@
             pending[1] if pending else core.state.get_incarnation(peer.replica_id)
         )
         if admitted_incarnation != peer.incarnation:
-            address = core.find_address(peer.replica_id)
-            command = AdmitReplica(peer.replica_id, peer.incarnation, address)
-            index = self._append(command)
-            self._admissions[peer.replica_id] = (index, peer.incarnation)
+            address = peer.address or core.find_address(peer.replica_id)
+            self._append_admission(peer.replica_id, peer.incarnation, address)
+
+    def _record_address(self, replica_id: str, incarnation: int, address: str) -> None:
+        """Records where a replica listens, unless this is known or under way.
+
+        The replicas of a new cluster are recorded in its first term, so that each
+        host admitted later learns of all of them.
+
+        :param incarnation: incarnation under which the replica is admitted.
+        :param address: address that the replica names; empty when it names none.
+        """
+        index, _ = self._admissions.get(replica_id, (0, 0))
+        seats = self._core.state.seats
+        is_pending = index > self._core.state.index
+        if address and not is_pending and seats.get(replica_id) != address:
+            self._append_admission(replica_id, incarnation, address)
+
+    def _append_admission(
+        self, replica_id: str, incarnation: int, address: str
+    ) -> None:
+        index = self._append(AdmitReplica(replica_id, incarnation, address))
+        self._admissions[replica_id] = (index, incarnation)
 
     async def _send_snapshot(self, peer: _Peer) -> None:
         core = self._core
--- a/src/coltsfootspar/replication/messages.py
+++ b/src/coltsfootspar/replication/messages.py
@@ -76,6 +76,8 @@
     :param match_index: last entry that equals the leader's and is synced.
     :param next_index: index at which the leader should continue after a mismatch.
     :param is_admitted: false until a replica with a new disk is admitted.
+    :param address: address at which the replica listens; empty when the settings of
+        all replicas name it, or from an earlier version of the program.
     """
 
     term: int
@@ -84,6 +86,7 @@
     next_index: int
     incarnation: int
     is_admitted: bool
+    address: str = ""
 
 
 @attrs.frozen
@@ -179,9 +182,15 @@
     :param replica_id: the offered seat, empty when there is none. For a process that
         is leaving: its seat if another process takes it over, else empty.
     :param leader_address: address of the leader, empty when it is not known.
-    :param seats: address of each seat after the entries up to ``index``.
+    :param seats: address of each seat after the entries up to ``index``, as far as it
+        is committed.
     :param index: last entry that the sender of the reply has applied.
     :param has_left: true when the seat is offered since its holder is stopping.
+    :param holders: all seats with the last known address of the holder, committed or
+        not; empty for a seat that was never held, None when the holder is unknown.
+        Empty from an earlier version of the program.
+    :param incarnations: incarnation of the holder of each of ``seats``. Empty from an
+        earlier version of the program.
     """
 
     replica_id: str
@@ -189,6 +198,8 @@
     seats: dict[str, str]
     index: int
     has_left: bool = False
+    holders: dict[str, str | None] = attrs.field(factory=dict)
+    incarnations: dict[str, int] = attrs.field(factory=dict)
 
 
 @attrs.frozen
--- a/src/coltsfootspar/replication/replica.py
+++ b/src/coltsfootspar/replication/replica.py
@@ -364,6 +364,7 @@
     source: random.Random,
     clock: Callable[[], float] = time.time,
     find_address: Callable[[str], str] = lambda replica_id: "",
+    address: str = "",
     options: ReplicaOptions | None = None,
 ) -> Replica:
     """Creates a replica from its data folder.
@@ -378,6 +379,8 @@
     :param clock: wall clock, seconds; the leader writes its time into each entry.
     :param find_address: returns the address of a replica, which the leader
         records with its admission; empty when the settings name the addresses.
+    :param address: address of this replica, which the leader records for the others;
+        empty when the settings name the addresses.
     :raises StorageError: when the folder cannot be read or belongs to another
         replica.
     :raises CorruptLogError: when a file in the folder is damaged.
@@ -403,6 +406,7 @@
         state=state,
         commit_index=state.index,
         find_address=find_address,
+        address=address,
     )
     log.on_synced = lambda: core.leader_term and core.leader_term.advance_commit_index()
     if identity.is_admitted:
--- a/src/coltsfootspar/wire/replication.capnp
+++ b/src/coltsfootspar/wire/replication.capnp
@@ -142,6 +142,8 @@
 struct Seat {
   replicaId @0 :Text;
   address @1 :Text;
+  incarnation @2 :UInt64;
+  isUnknown @3 :Bool;
 }
 
 struct JoinRequest {
@@ -156,6 +158,8 @@
   seats @2 :List(Seat);
   index @3 :UInt64;
   hasLeft @4 :Bool;
+  holders @5 :List(Seat);
+  hasIncarnations @6 :Bool;
 }
 
 struct SnapshotItem {
@@ -203,6 +207,7 @@
   nextIndex @3 :UInt64;
   incarnation @4 :UInt64;
   isAdmitted @5 :Bool;
+  address @6 :Text;
 }
 
 struct InstallRequest {
--- a/src/coltsfootspar/wire/replication/messages.py
+++ b/src/coltsfootspar/wire/replication/messages.py
@@ -171,6 +171,7 @@
         nextIndex=reply.next_index,
         incarnation=reply.incarnation,
         isAdmitted=reply.is_admitted,
+        address=reply.address,
     )
     return Message(FrameKind.APPEND_REPLY, payload.to_bytes())
 
@@ -187,6 +188,7 @@
             r.nextIndex,
             r.incarnation,
             r.isAdmitted,
+            r.address,
         ),
     )
 
@@ -473,23 +475,45 @@
     payload.leaderAddress = reply.leader_address
     payload.index = reply.index
     payload.hasLeft = reply.has_left
-    fill_list(payload, "seats", tuple(reply.seats.items()), fill_seat)
+    payload.hasIncarnations = bool(reply.incarnations)
+
+    def fill_held_seat(builder: Any, pair: tuple[str, str]) -> None:
+        fill_seat(builder, pair)
+        builder.incarnation = reply.incarnations.get(pair[0], 0)
+
+    fill_list(payload, "seats", tuple(reply.seats.items()), fill_held_seat)
+    fill_list(payload, "holders", tuple(reply.holders.items()), _fill_holder)
     return Message(FrameKind.JOIN_REPLY, payload.to_bytes())
 
 
+def _fill_holder(builder: Any, holder: tuple[str, str | None]) -> None:
+    builder.replicaId = holder[0]
+    builder.address = holder[1] or ""
+    builder.isUnknown = holder[1] is None
+
+
+def _read_holder(reader: Any) -> tuple[str, str | None]:
+    return reader.replicaId, None if reader.isUnknown else reader.address
+
+
+def _read_join_reply(reader: Any) -> JoinReply:
+    incarnations = {}
+    if reader.hasIncarnations:
+        incarnations = {seat.replicaId: seat.incarnation for seat in reader.seats}
+    return JoinReply(
+        reader.replicaId,
+        reader.leaderAddress,
+        dict(read_seat(seat) for seat in reader.seats),
+        reader.index,
+        reader.hasLeft,
+        dict(_read_holder(holder) for holder in reader.holders),
+        incarnations,
+    )
+
+
 def decode_join_reply(message: Message) -> JoinReply:
     """Decodes the reply to a process that has no seat."""
-    return decode_payload(
-        SCHEMA.JoinReply,
-        message.payload,
-        lambda r: JoinReply(
-            r.replicaId,
-            r.leaderAddress,
-            dict(read_seat(seat) for seat in r.seats),
-            r.index,
-            r.hasLeft,
-        ),
-    )
+    return decode_payload(SCHEMA.JoinReply, message.payload, _read_join_reply)
 
 
 # Departures of backend servers
