--- a/src/coltsfootspar/fleet/control.py
+++ b/src/coltsfootspar/fleet/control.py
@@ -129,22 +129,35 @@
                     return create_error_response(422, "report is for another service")
                 return await self._apply_report(request)
             case BackendDeparture():
-                await self._apply_departure(request)
-                return ControlResponse(200)
+                return await self._apply_departure(request)
         return create_error_response(404, "request is served by the replicas")
 
     async def _apply_report(self, report: BackendReport) -> ControlResponse:
         self._departures.apply_report(report)
-        if report.is_leaving:
-            await self._departures.record_leaving(report)
-        return ControlResponse(200)
+        if not report.is_leaving:
+            return ControlResponse(200)
+        return _respond_to_departure(await self._departures.record_leaving(report))
 
-    async def _apply_departure(self, departure: BackendDeparture) -> None:
+    async def _apply_departure(self, departure: BackendDeparture) -> ControlResponse:
         instance_id = departure.instance_id
         self._departures.drop_held_report(instance_id)
         started_ms = self._backend.apply_departure(instance_id, departure.started_ms)
-        if started_ms is not None:
-            await self._departures.record_departure(instance_id, started_ms)
+        # An earlier start than the present one has departed as well.
+        started_ms = started_ms or departure.started_ms
+        if not started_ms:
+            return ControlResponse(200)
+        is_kept = await self._departures.record_departure(instance_id, started_ms)
+        return _respond_to_departure(is_kept)
+
+
+def _respond_to_departure(is_kept: bool) -> ControlResponse:
+    """Responds to a backend server that leaves.
+
+    :param is_kept: true when a majority of the replicas keeps its departure.
+    """
+    if is_kept:
+        return ControlResponse(200)
+    return create_error_response(503, "too few replicas keep the departure yet")
 
 
 @attrs.define(eq=False)
--- a/src/coltsfootspar/fleet/departures.py
+++ b/src/coltsfootspar/fleet/departures.py
@@ -11,10 +11,10 @@
 __all__ = ["DepartureRecorder", "create_departure_recorder"]
 
 # A backend server waits a second for the response to its report or notice.
-_RECORD_TIMEOUT_SECONDS = 0.5
+_RECORD_TIMEOUT_SECONDS = 0.8
 _READ_TIMEOUT_SECONDS = 0.5
-# After this time without a majority of the replicas, the node goes on with what it
-# has read.
+# After this time without a majority of the replicas, the node applies reports with what
+# it has read so far, and goes on reading.
 RECOVERY_TIMEOUT_SECONDS = 2.5
 _RETRY_DELAY_SECONDS = 0.1
 _RETRY_PERIOD_SECONDS = 1.0
@@ -26,28 +26,30 @@
 class DepartureRecorder:
     """Makes the departures that the node acknowledges outlast its process.
 
-    :param _is_recovered: true once it is known what departed before the start.
+    A departure is acknowledged once a majority of the replicas keeps it. It takes
+    effect at this node in any case.
+
+    :param _has_waited: true once reports need not wait any longer for what departed
+        before the start.
     :param _held_report: newest report that has come before.
-    :param _recorded: latest departure that was to be recorded, by instance id.
+    :param _recorded: latest departure that is to be recorded, by instance id.
     :param _unconfirmed: those of them that no majority of the replicas has confirmed.
     """
 
     _node_id: str
     _client: ReplicationClient
     _backend: BackendServer
-    _is_recovered: bool = False
+    _has_waited: bool = False
     _held_report: BackendReport | None = None
     _recorded: dict[str, Departure] = attrs.field(factory=dict)
     _unconfirmed: dict[str, Departure] = attrs.field(factory=dict)
     _has_unconfirmed: trio.Event = attrs.field(factory=trio.Event)
 
     async def run(self) -> None:
-        """Reads what an earlier process of the node recorded, then repeats records."""
-        await self._recover()
-        while True:
-            await self._has_unconfirmed.wait()
-            await trio.sleep(_RETRY_PERIOD_SECONDS)
-            await self._send_unconfirmed(_READ_TIMEOUT_SECONDS)
+        """Reads what an earlier process of the node recorded, and repeats records."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._recover)
+            nursery.start_soon(self._repeat_records)
 
     def apply_report(self, report: BackendReport) -> None:
         """Applies a report, or holds it until it is known what departed before.
@@ -56,7 +58,7 @@
         report that comes while the node starts must not be lost.
         """
         held = self._held_report
-        if self._is_recovered or report.is_leaving:
+        if self._has_waited or report.is_leaving:
             self._backend.apply_report(report)
         elif held is None or report.order > held.order:
             self._held_report = report
@@ -67,27 +69,37 @@
         if held is not None and held.instance_id == instance_id:
             self._held_report = None
 
-    async def record_leaving(self, report: BackendReport) -> None:
+    async def record_leaving(self, report: BackendReport) -> bool:
         """Records a report that the backend server leaves; see :meth:`_record`."""
         departure = Departure(report.instance_id, report.started_ms, report.sequence)
         known = self._recorded.get(report.instance_id)
         # Only the first such report of a start tells something new.
-        if known is None or known.started_ms < report.started_ms:
-            await self._record(departure)
+        is_new = known is None or known.started_ms < report.started_ms
+        return await self._record(departure, is_new=is_new)
 
-    async def record_departure(self, instance_id: str, started_ms: int) -> None:
+    async def record_departure(self, instance_id: str, started_ms: int) -> bool:
         """Records that a start has deregistered; see :meth:`_record`."""
         departure = Departure(instance_id, started_ms, has_deregistered=True)
         known = self._recorded.get(instance_id)
-        if known is None or known.order < departure.order:
-            await self._record(departure)
+        is_new = known is None or known.order < departure.order
+        return await self._record(departure, is_new=is_new)
 
-    async def _record(self, departure: Departure) -> None:
-        """Returns once a majority of the replicas keeps the departure.
+    async def _record(self, departure: Departure, *, is_new: bool) -> bool:
+        """Waits until a majority of the replicas keeps a departure, or a later one.
 
         Without a majority it returns after a time limit, and the departure is sent
-        again later: the backend server leaves in any case.
+        again later.
+
+        :param is_new: false when it, or a later one, was to be recorded before.
+        :returns: true when a majority keeps it.
         """
+        if is_new:
+            self._add(departure)
+        if departure.instance_id in self._unconfirmed:
+            await self._send_unconfirmed(_RECORD_TIMEOUT_SECONDS)
+        return departure.instance_id not in self._unconfirmed
+
+    def _add(self, departure: Departure) -> None:
         self._recorded.pop(departure.instance_id, None)
         self._recorded[departure.instance_id] = departure
         if len(self._recorded) > _MAX_RECORDED:
@@ -96,7 +108,12 @@
             self._unconfirmed.pop(oldest, None)
         self._unconfirmed[departure.instance_id] = departure
         self._has_unconfirmed.set()
-        await self._send_unconfirmed(_RECORD_TIMEOUT_SECONDS)
+
+    async def _repeat_records(self) -> None:
+        while True:
+            await self._has_unconfirmed.wait()
+            await trio.sleep(_RETRY_PERIOD_SECONDS)
+            await self._send_unconfirmed(_READ_TIMEOUT_SECONDS)
 
     async def _send_unconfirmed(self, timeout: float) -> None:
         sent = dict(self._unconfirmed)
@@ -115,33 +132,46 @@
             self._has_unconfirmed = trio.Event()
 
     async def _recover(self) -> None:
-        is_majority = False
-        with trio.move_on_after(RECOVERY_TIMEOUT_SECONDS):
+        """Reads until a majority has replied; holds reports for a limited time."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._limit_wait)
+            is_majority = await self._read()
             while not is_majority:
+                await trio.sleep(_RETRY_DELAY_SECONDS)
                 is_majority = await self._read()
-                if not is_majority:
-                    await trio.sleep(_RETRY_DELAY_SECONDS)
-        if not is_majority:
-            log_decision("departures-unknown")
-        self._is_recovered = True
-        if self._held_report is not None:
-            self._backend.apply_report(self._held_report)
-            self._held_report = None
+            nursery.cancel_scope.cancel()
+        self._release_report()
+
+    async def _limit_wait(self) -> None:
+        await trio.sleep(RECOVERY_TIMEOUT_SECONDS)
+        log_decision("departures-unknown")
+        self._release_report()
+
+    def _release_report(self) -> None:
+        self._has_waited = True
+        held, self._held_report = self._held_report, None
+        if held is not None:
+            self._backend.apply_report(held)
 
     async def _read(self) -> bool:
         known = await self._client.note_departures(
             self._node_id, (), _READ_TIMEOUT_SECONDS
         )
-        for departure in known.departures:
-            if departure.has_deregistered:
-                self._backend.restore_departure(
-                    departure.instance_id, departure.started_ms
-                )
-            else:
-                order = (departure.started_ms, departure.sequence)
-                self._backend.restore_leaving(departure.instance_id, order)
+        for departure in sorted(known.departures, key=lambda known: known.order):
+            self._restore(departure)
         return known.is_majority
 
+    def _restore(self, departure: Departure) -> None:
+        if departure.has_deregistered:
+            self._backend.restore_departure(departure.instance_id, departure.started_ms)
+        else:
+            order = (departure.started_ms, departure.sequence)
+            self._backend.restore_leaving(departure.instance_id, order)
+        known = self._recorded.get(departure.instance_id)
+        if known is None or known.order < departure.order:
+            # The replicas that replied may be the only ones that keep it.
+            self._add(departure)
+
 
 def create_departure_recorder(
     node_id: str, client: ReplicationClient, backend: BackendServer
--- a/src/coltsfootspar/relay/backend.py
+++ b/src/coltsfootspar/relay/backend.py
@@ -276,6 +276,7 @@
         """
         known = self._leaving_orders.get(instance_id, order)
         _remember(self._leaving_orders, instance_id, max(known, order))
+        self._stop_if_departed(instance_id)
 
     def restore_departure(self, instance_id: str, started_ms: int) -> None:
         """Ignores reports of a start that departed before the node started.
@@ -284,6 +285,17 @@
         """
         known_start = self._departed_starts.get(instance_id, started_ms)
         _remember(self._departed_starts, instance_id, max(known_start, started_ms))
+        self._stop_if_departed(instance_id)
+
+    def _stop_if_departed(self, instance_id: str) -> None:
+        """Sends no new work to a server whose report was applied unknowingly."""
+        report = self.report
+        if report is None or report.instance_id != instance_id or report.is_leaving:
+            return
+        if self._has_departed(report):
+            log_decision("backend-departed", instance=instance_id)
+            self.report = attrs.evolve(report, is_leaving=True)
+            self._publish_change()
 
     def apply_departure(self, instance_id: str, started_ms: int = 0) -> int | None:
         """Stops sending new work to a backend server that has deregistered.
--- a/src/coltsfootspar/replication/client.py
+++ b/src/coltsfootspar/replication/client.py
@@ -29,9 +29,14 @@
     ReplaceRoutes,
     Result,
 )
+from coltsfootspar.replication.departurerounds import (
+    DepartureRound,
+    KnownDepartures,
+)
 from coltsfootspar.replication.interfaces import ReplicaLink
 from coltsfootspar.replication.messages import (
     Departure,
+    DeparturesReply,
     HistoryReply,
     NoteDeparturesRequest,
     ProposeReply,
@@ -44,7 +49,6 @@
 from coltsfootspar.wire import FrameKind, Message, replication as codec
 
 __all__ = [
-    "KnownDepartures",
     "ReplicationClient",
     "create_id",
     "create_replication_client",
@@ -63,6 +67,7 @@
 _READ_ROUTES_WAIT_MS = 1_000
 _MIN_RETRY_DELAY_SECONDS = 0.05
 _MAX_RETRY_DELAY_SECONDS = 0.25
+_DEPARTURES_RETRY_SECONDS = 0.1
 _MS_PER_SECOND = 1_000
 _T = TypeVar("_T", TableReply, HistoryReply)
 
@@ -276,34 +281,67 @@
 
     async def note_departures(
         self, node_id: str, departures: Sequence[Departure], timeout: float
-    ) -> "KnownDepartures":
+    ) -> KnownDepartures:
         """Asks all replicas to keep departures, and for those that they keep.
 
-        Needs no leader. Returns once a majority has replied, or after the timeout.
+        Needs no leader. Repeats the question to those that do not reply, until a
+        majority has replied or the timeout has passed. The replies tell which replicas
+        there are.
 
         :param node_id: node beside the backend servers.
         :param departures: may be empty, to read only.
+        :param timeout: seconds.
         """
         request = NoteDeparturesRequest(node_id, tuple(departures))
         message = codec.encode_note_departures(request)
-        replies: list[tuple[Departure, ...]] = []
-        majority = len(self._replica_ids) // 2 + 1
-
-        async def note(replica_id: str, scope: trio.CancelScope) -> None:
-            try:
-                reply = await self._request(replica_id, message, timeout)
-                replies.append(codec.decode_departures(reply))
-            except (LinkError, FrameError):
-                return
-            if len(replies) >= majority:
+        replies = DepartureRound(self._replica_ids, is_read=not departures)
+        asked: set[str] = set()
+
+        async def ask(replica_id: str) -> None:
+            reply = await self._request_departures(replica_id, message, timeout)
+            replies.add(replica_id, reply)
+            self.update_replicas(replies.replica_ids)
+            if replies.is_majority:
                 scope.cancel()
+            else:
+                ask_all()
+
+        def ask_all() -> None:
+            for replica_id in replies.replica_ids:
+                if replica_id not in asked:
+                    asked.add(replica_id)
+                    nursery.start_soon(ask, replica_id)
 
         with trio.move_on_after(timeout) as scope:
             async with trio.open_nursery() as nursery:
-                for replica_id in self._replica_ids:
-                    nursery.start_soon(note, replica_id, scope)
-        known = frozenset(departure for reply in replies for departure in reply)
-        return KnownDepartures(known, len(replies) >= majority)
+                ask_all()
+        return replies.summarise()
+
+    async def _request_departures(
+        self, replica_id: str, message: Message, timeout: float
+    ) -> DeparturesReply:
+        """Repeats a request until the replica replies."""
+        while True:
+            try:
+                reply = await self._request(replica_id, message, timeout)
+                return codec.decode_departures(reply)
+            except (LinkError, FrameError) as error:
+                logging.debug("No departures from %s: %s", replica_id, error)
+            await trio.sleep(_DEPARTURES_RETRY_SECONDS)
+
+    @property
+    def replica_ids(self) -> tuple[str, ...]:
+        """Ids of the replicas, those to ask first at the front."""
+        return self._replica_ids
+
+    def update_replicas(self, replica_ids: Sequence[str]) -> None:
+        """Takes over which replicas there are, and keeps their order if possible."""
+        if set(replica_ids) == set(self._replica_ids):
+            return
+        kept = [name for name in self._replica_ids if name in replica_ids]
+        added = [name for name in replica_ids if name not in kept]
+        self._random.shuffle(added)
+        self._replica_ids = (*kept, *added)
 
     def _list_leader_first(self) -> list[str]:
         return sorted(self._replica_ids, key=lambda name: name != self._leader_id)
@@ -477,17 +515,6 @@
         return None
 
 
-@attrs.frozen
-class KnownDepartures:
-    """Departures that replicas keep for a node.
-
-    :param is_majority: true when a majority of the replicas has replied.
-    """
-
-    departures: frozenset[Departure]
-    is_majority: bool
-
-
 @attrs.define(eq=False)
 class _Proposal:
     message: Message
--- a/src/coltsfootspar/replication/core.py
+++ b/src/coltsfootspar/replication/core.py
@@ -28,6 +28,7 @@
 )
 from coltsfootspar.replication.interfaces import Disk, ReplicaLink
 from coltsfootspar.replication.log import ReplicaLog
+from coltsfootspar.replication.messages import Group
 from coltsfootspar.replication.snapshots import SnapshotStore
 from coltsfootspar.replication.state import ReplicatedState
 from coltsfootspar.wire import replication as codec
@@ -310,6 +311,29 @@
                 admissions[command.replica_id] = (index, command.incarnation)
         return admissions
 
+    def list_incarnations(self) -> dict[str, int]:
+        """Returns the incarnation under which each replica was last admitted.
+
+        The last admission in the log counts, committed or not, because an earlier
+        incarnation may be that of a disk that was replaced.
+        """
+        pending = self.list_unapplied_admissions()
+        return {
+            name: pending[name][1]
+            if name in pending
+            else self.state.get_incarnation(name)
+            for name in self.replica_ids
+        }
+
+    def describe_group(self) -> Group:
+        """Describes the replicas of the cluster."""
+        return Group(
+            self.log.last_term,
+            self.log.last_index,
+            self.identity.incarnation,
+            self.list_incarnations(),
+        )
+
     def commit(self, index: int) -> None:
         """Applies all entries up to a committed index."""
         self.commit_index = max(self.commit_index, index)
--- a/src/coltsfootspar/replication/election.py
+++ b/src/coltsfootspar/replication/election.py
@@ -154,13 +154,7 @@
 async def _request_votes(core: ReplicaCore, kind: FrameKind, term: int) -> bool:
     log = core.log
     request = VoteRequest(term, core.replica_id, log.last_index, log.last_term)
-    # The last admission in the log counts, committed or not, because a vote under
-    # an older incarnation may come from a disk that was replaced.
-    pending = core.list_unapplied_admissions()
-    incarnations = {
-        name: pending[name][1] if name in pending else core.state.get_incarnation(name)
-        for name in core.replica_ids
-    }
+    incarnations = core.list_incarnations()
     if incarnations[core.replica_id] != core.identity.incarnation:
         return False
     vote_round = _VoteRound(core, request, kind, incarnations, {core.replica_id})
--- a/src/coltsfootspar/replication/messages.py
+++ b/src/coltsfootspar/replication/messages.py
@@ -10,6 +10,8 @@
     "AppendReply",
     "AppendRequest",
     "Departure",
+    "DeparturesReply",
+    "Group",
     "HistoryReply",
     "InstallReply",
     "InstallRequest",
@@ -227,13 +229,52 @@
 class NoteDeparturesRequest:
     """Asks a replica to keep departures, and for all that it keeps for a node.
 
-    :param node_id: node beside the backend servers.
+    :param node_id: node beside the backend servers; empty to ask for copies of the
+        departures of all nodes.
     """
 
     node_id: str
     departures: tuple[Departure, ...] = ()
 
 
+@attrs.frozen
+class Group:
+    """The replicas of the cluster, as the log of one of them tells.
+
+    :param term: term of the last entry in the log; empty logs have term 0.
+    :param index: index of that entry.
+    :param incarnation: incarnation of the replica that describes the group.
+    :param incarnations: latest incarnation of each replica, by replica id.
+    """
+
+    term: int
+    index: int
+    incarnation: int
+    incarnations: dict[str, int]
+
+    @property
+    def order(self) -> tuple[int, int]:
+        """Sort key; the newest description compares greatest."""
+        return self.term, self.index
+
+
+@attrs.frozen
+class DeparturesReply:
+    """Answers a :class:`NoteDeparturesRequest`.
+
+    :param departures: all that the replica keeps for the node, on its disk.
+    :param is_partial: true when departures that others keep may be missing.
+    :param copies: departures of all nodes by node id, when they were asked for; None
+        from an earlier version of the program.
+    :param group: None from an earlier version of the program.
+    """
+
+    departures: tuple[Departure, ...]
+    is_partial: bool = False
+    copies: dict[str, tuple[Departure, ...]] | None = None
+    group: Group | None = None
+
+
 @attrs.frozen
 class HistoryReply:
     """Answers a request for the history.
--- a/src/coltsfootspar/replication/replica.py
+++ b/src/coltsfootspar/replication/replica.py
@@ -23,6 +23,7 @@
     Result,
 )
 from coltsfootspar.replication.core import ReplicaCore, ReplicaOptions
+from coltsfootspar.replication.departurecopies import create_departure_copier
 from coltsfootspar.replication.departures import DepartureStore, load_departures
 from coltsfootspar.replication.election import (
     campaign,
@@ -42,6 +43,8 @@
 from coltsfootspar.replication.leadership import create_leadership
 from coltsfootspar.replication.log import open_log
 from coltsfootspar.replication.messages import (
+    Departure,
+    DeparturesReply,
     HistoryReply,
     ProposeReply,
     ProposeStatus,
@@ -95,6 +98,7 @@
                 nursery.start_soon(self._run_elections)
                 nursery.start_soon(self._write_snapshots_when_due)
                 nursery.start_soon(self._save_routes_on_change)
+                nursery.start_soon(create_departure_copier(core, self._departures).run)
                 await core.failed.wait()
                 nursery.cancel_scope.cancel()
         finally:
@@ -325,8 +329,25 @@
 
     async def _serve_note_departures(self, message: Message) -> Message:
         request = codec.decode_note_departures(message)
+        if not request.node_id:
+            return self._encode_departures((), self._departures.list_all())
+        if request.departures and not self._core.identity.is_admitted:
+            raise ReplicationError(
+                "this replica is not admitted and may yet lose its data folder",
+                code="not-admitted",
+            )
         known = await self._departures.note(request.node_id, request.departures)
-        return codec.encode_departures(known)
+        return self._encode_departures(known)
+
+    def _encode_departures(
+        self,
+        known: tuple[Departure, ...],
+        copies: dict[str, tuple[Departure, ...]] | None = None,
+    ) -> Message:
+        core = self._core
+        is_partial = self._departures.is_partial or not core.identity.is_admitted
+        reply = DeparturesReply(known, is_partial, copies, core.describe_group())
+        return codec.encode_departures(reply)
 
     async def _serve_status(self, message: Message) -> Message:
         return codec.encode_status(self.status())
@@ -411,6 +432,5 @@
     log.on_synced = lambda: core.leader_term and core.leader_term.advance_commit_index()
     if identity.is_admitted:
         core.admitted.set()
-    return Replica(
-        core, timers, await load_route_cache(disk), await load_departures(disk)
-    )
+    departures = await load_departures(disk, is_new=not identity.is_admitted)
+    return Replica(core, timers, await load_route_cache(disk), departures)
--- a/src/coltsfootspar/replication/tests/harness.py
+++ b/src/coltsfootspar/replication/tests/harness.py
@@ -30,11 +30,14 @@
 class NamedLink:
     """Link of one process on the simulated network."""
 
-    def __init__(self, network, name):
+    def __init__(self, network, name, dropped_kinds=frozenset()):
         self.network = network
         self.name = name
+        self.dropped_kinds = dropped_kinds
 
     async def request(self, replica_id, message):
+        if (self.name, message.kind) in self.dropped_kinds:
+            raise LinkError("dropped", may_have_run=False)
         return await self.network.request(self.name, replica_id, message)
 
 
@@ -51,6 +54,11 @@
         self.replicas = {}
         self.scopes = {}
         self.errors = {}
+        self.dropped_kinds = set()
+
+    def drop_kind(self, name, kind):
+        """Drops the requests of one kind that a replica sends."""
+        self.dropped_kinds.add((name, kind))
 
     def create_disk(self):
         return create_disk(self.random.getrandbits(32), latency=0.001)
@@ -66,7 +74,7 @@
             name,
             self.replica_ids,
             disk=self.disks[name],
-            link=NamedLink(self.network, name),
+            link=NamedLink(self.network, name, self.dropped_kinds),
             timers=timers,
             source=random.Random(self.random.getrandbits(32)),
             clock=trio.current_time,
--- a/src/coltsfootspar/wire/replication.capnp
+++ b/src/coltsfootspar/wire/replication.capnp
@@ -278,6 +278,20 @@
 
 struct Departures {
   departures @0 :List(Departure);
+  isPartial @1 :Bool;
+  hasCopies @2 :Bool;
+  group @3 :Group;
+}
+
+struct DepartureCopies {
+  nodes @0 :List(NoteDepartures);
+}
+
+struct Group {
+  term @0 :UInt64;
+  index @1 :UInt64;
+  incarnation @2 :UInt64;
+  replicas @3 :List(Incarnation);
 }
 
 struct StatusReply {
--- a/src/coltsfootspar/wire/replication/__init__.py
+++ b/src/coltsfootspar/wire/replication/__init__.py
@@ -6,10 +6,15 @@
     encode_command,
     encode_entries,
 )
+from coltsfootspar.wire.replication.departures import (
+    decode_departures,
+    decode_note_departures,
+    encode_departures,
+    encode_note_departures,
+)
 from coltsfootspar.wire.replication.messages import (
     decode_append,
     decode_append_reply,
-    decode_departures,
     decode_history,
     decode_history_request,
     decode_install,
@@ -18,7 +23,6 @@
     decode_join_reply,
     decode_look_up,
     decode_look_up_reply,
-    decode_note_departures,
     decode_propose,
     decode_propose_reply,
     decode_status,
@@ -28,7 +32,6 @@
     decode_vote_reply,
     encode_append,
     encode_append_reply,
-    encode_departures,
     encode_history,
     encode_history_request,
     encode_install,
@@ -37,7 +40,6 @@
     encode_join_reply,
     encode_look_up,
     encode_look_up_reply,
-    encode_note_departures,
     encode_propose,
     encode_propose_reply,
     encode_status,
--- a/src/coltsfootspar/wire/replication/messages.py
+++ b/src/coltsfootspar/wire/replication/messages.py
@@ -11,13 +11,11 @@
 from coltsfootspar.replication.messages import (
     AppendReply,
     AppendRequest,
-    Departure,
     HistoryReply,
     InstallReply,
     InstallRequest,
     JoinReply,
     JoinRequest,
-    NoteDeparturesRequest,
     ProposeReply,
     ProposeStatus,
     ReplicaStatus,
@@ -45,7 +43,6 @@
 __all__ = [
     "decode_append",
     "decode_append_reply",
-    "decode_departures",
     "decode_history",
     "decode_history_request",
     "decode_install",
@@ -54,7 +51,6 @@
     "decode_join_reply",
     "decode_look_up",
     "decode_look_up_reply",
-    "decode_note_departures",
     "decode_propose",
     "decode_propose_reply",
     "decode_status",
@@ -64,7 +60,6 @@
     "decode_vote_reply",
     "encode_append",
     "encode_append_reply",
-    "encode_departures",
     "encode_history",
     "encode_history_request",
     "encode_install",
@@ -73,7 +68,6 @@
     "encode_join_reply",
     "encode_look_up",
     "encode_look_up_reply",
-    "encode_note_departures",
     "encode_propose",
     "encode_propose_reply",
     "encode_status",
@@ -514,49 +508,3 @@
 def decode_join_reply(message: Message) -> JoinReply:
     """Decodes the reply to a process that has no seat."""
     return decode_payload(SCHEMA.JoinReply, message.payload, _read_join_reply)
-
-
-# Departures of backend servers
-
-
-def _fill_departure(builder: Any, departure: Departure) -> None:
-    builder.instanceId = departure.instance_id
-    builder.startedMs = departure.started_ms
-    builder.sequence = departure.sequence
-    builder.hasDeregistered = departure.has_deregistered
-
-
-def _read_departures(reader: Any) -> tuple[Departure, ...]:
-    return tuple(
-        Departure(d.instanceId, d.startedMs, d.sequence, d.hasDeregistered)
-        for d in reader.departures
-    )
-
-
-def encode_note_departures(request: NoteDeparturesRequest) -> Message:
-    """Encodes a request to keep departures."""
-    payload = SCHEMA.NoteDepartures.new_message()
-    payload.nodeId = request.node_id
-    fill_list(payload, "departures", request.departures, _fill_departure)
-    return Message(FrameKind.NOTE_DEPARTURES, payload.to_bytes())
-
-
-def decode_note_departures(message: Message) -> NoteDeparturesRequest:
-    """Decodes a request to keep departures."""
-    return decode_payload(
-        SCHEMA.NoteDepartures,
-        message.payload,
-        lambda r: NoteDeparturesRequest(r.nodeId, _read_departures(r)),
-    )
-
-
-def encode_departures(departures: tuple[Departure, ...]) -> Message:
-    """Encodes the departures that a replica keeps for a node."""
-    payload = SCHEMA.Departures.new_message()
-    fill_list(payload, "departures", departures, _fill_departure)
-    return Message(FrameKind.DEPARTURES, payload.to_bytes())
-
-
-def decode_departures(message: Message) -> tuple[Departure, ...]:
-    """Decodes the departures that a replica keeps for a node."""
-    return decode_payload(SCHEMA.Departures, message.payload, _read_departures)
--- a/src/coltsfootspar/wire/replication/state.py
+++ b/src/coltsfootspar/wire/replication/state.py
@@ -36,7 +36,9 @@
     "decode_table",
     "encode_snapshot_item",
     "encode_table",
+    "fill_incarnation",
     "fill_seat",
+    "read_incarnation",
     "read_seat",
 ]
 
@@ -119,10 +121,16 @@
     fill_change_result(builder.init("result"), kept[1])
 
 
-def _fill_incarnation(builder: Any, pair: Incarnation) -> None:
+def fill_incarnation(builder: Any, pair: Incarnation) -> None:
+    """Writes the incarnation of a process."""
     builder.processId, builder.incarnation = pair
 
 
+def read_incarnation(reader: Any) -> Incarnation:
+    """Reads the incarnation of a process."""
+    return reader.processId, reader.incarnation
+
+
 def _fill_accepted_routes(builder: Any, pair: tuple[int, bytes]) -> None:
     builder.version, builder.digest = pair
 
@@ -142,8 +150,8 @@
     "change": fill_change,
     "result": _fill_kept_result,
     "claim": _fill_record,
-    "replica": _fill_incarnation,
-    "node": _fill_incarnation,
+    "replica": fill_incarnation,
+    "node": fill_incarnation,
     "acceptedRoutes": _fill_accepted_routes,
     "seat": fill_seat,
 }
@@ -154,8 +162,8 @@
     "result": lambda reader: (reader.changeId, read_change_result(reader.result)),
     "claim": _read_record,
     "abandonedClaim": lambda value: value,
-    "replica": lambda reader: (reader.processId, reader.incarnation),
-    "node": lambda reader: (reader.processId, reader.incarnation),
+    "replica": read_incarnation,
+    "node": read_incarnation,
     "routes": bytes,
     "acceptedRoutes": lambda reader: (reader.version, bytes(reader.digest)),
     "seat": read_seat,
