--- a/src/coltsfootspar/fleet/allowances.py
+++ b/src/coltsfootspar/fleet/allowances.py
@@ -11,7 +11,7 @@
 
 from coltsfootspar.exceptions import FrameError, RefusedError
 from coltsfootspar.fleet.common import open_free_udp_port
-from coltsfootspar.fleet.seats import SEAT_SERVICE_PREFIX, list_seats
+from coltsfootspar.fleet.seats import SEAT_SERVICE_PREFIX
 from coltsfootspar.logs import log_decision
 from coltsfootspar.membership import Membership
 from coltsfootspar.membership.ports import UdpPort
@@ -69,14 +69,14 @@
 class SeatLenderDirectory:
     """Lists the hosts that hold the seats of the replicas."""
 
-    _seats: Sequence[str]
+    _list_seats: Callable[[], Sequence[str]]
     _settings: FleetNodeSettings
     _membership: Membership
     _find_replica: Callable[[str], Address | None]
 
     def list_lenders(self) -> Sequence[Address]:
         """Lists the lenders; those that are not known to be present come last."""
-        seats = sorted(self._seats, key=self._rank)
+        seats = sorted(self._list_seats(), key=self._rank)
         replicas = (self._find_replica(seat) for seat in seats)
         port = self._settings.quota_port
         return [Address(replica.host, port) for replica in replicas if replica]
@@ -270,14 +270,14 @@
     settings: FleetNodeSettings,
     membership: Membership,
     find_replica: Callable[[str], Address | None],
+    list_seats: Callable[[], Sequence[str]],
 ) -> AllowanceService:
     """Creates the service of a node whose lenders are the holders of seats.
 
     :param find_replica: returns the address of the replica that holds a seat.
+    :param list_seats: returns the names of the seats, as far as they are known.
     """
-    directory = SeatLenderDirectory(
-        list_seats(settings), settings, membership, find_replica
-    )
+    directory = SeatLenderDirectory(list_seats, settings, membership, find_replica)
     address = Address(settings.host, settings.quota_port)
     key = bytes.fromhex(settings.shared_key)
     bounds = settings.bounds
--- a/src/coltsfootspar/fleet/node.py
+++ b/src/coltsfootspar/fleet/node.py
@@ -39,9 +39,10 @@
 from coltsfootspar.fleet.reloading import SettingsFile
 from coltsfootspar.fleet.routecopy import RouteCopy, create_route_copy
 from coltsfootspar.fleet.seats import (
+    count_expected_seats,
     create_seat_map,
     find_seat_holder,
-    list_seats,
+    name_seats,
 )
 from coltsfootspar.logs import log_decision
 from coltsfootspar.membership import Membership, open_udp_port
@@ -196,7 +197,10 @@
         if self.allowances is not None or not table.has_limits:
             return
         self.allowances = fleet.create_seat_allowance_service(
-            self.settings, self.membership, self.find_replica
+            self.settings,
+            self.membership,
+            self.find_replica,
+            lambda: self.client.replica_ids,
         )
         members = self.membership.list_members()
         present = sum(member.is_present for member in members)
@@ -386,7 +390,8 @@
     links = create_peer_links(
         create_fleet_identity(settings, settings.id, "node"), directory.find_replica
     )
-    seats = list_seats(settings)
+    # The replicas tell which seats there are.
+    seats = list(name_seats(count_expected_seats(settings.host_losses)))
     source.shuffle(seats)
     client = create_replication_client(seats, links, source)
     routes = create_route_copy()
--- a/src/coltsfootspar/fleet/offers.py
+++ b/src/coltsfootspar/fleet/offers.py
@@ -4,7 +4,9 @@
 
 import attrs
 import trio
+from absl import logging
 
+from coltsfootspar.exceptions import CorruptLogError
 from coltsfootspar.fleet.seats import SeatMap
 from coltsfootspar.logs import log_decision
 from coltsfootspar.replication import Disk, Replica, Role
@@ -25,14 +27,22 @@
 JOINING_LIFETIME_SECONDS = 2.0
 
 
-async def load_seats(seats: SeatMap, disk: Disk) -> None:
-    """Loads the saved addresses of the holders into a map, if there are any."""
-    if _FILE_NAME in await disk.list_files():
-        seats.addresses.update(await load_document(disk, _FILE_NAME))
+async def load_seats(disk: Disk) -> dict[str, str | None]:
+    """Reads the saved holder of each seat.
+
+    :returns: empty when none were saved, or the file is damaged.
+    """
+    if _FILE_NAME not in await disk.list_files():
+        return {}
+    try:
+        return await load_document(disk, _FILE_NAME)
+    except CorruptLogError as error:
+        logging.warning("Ignoring the saved seats: %s", error)
+        return {}
 
 
 async def save_seats(seats: SeatMap, disk: Disk) -> None:
-    """Saves the addresses, so that the process can restart with other seeds."""
+    """Saves which seats exist and who holds them, for a restart with other seeds."""
     await save_document(disk, _FILE_NAME, seats.addresses)
 
 
--- a/src/coltsfootspar/fleet/replica.py
+++ b/src/coltsfootspar/fleet/replica.py
@@ -11,7 +11,7 @@
 from absl import logging
 
 from coltsfootspar import fleet
-from coltsfootspar.exceptions import ColtsfootsparError, FrameError
+from coltsfootspar.exceptions import ColtsfootsparError, CorruptLogError, FrameError
 from coltsfootspar.fleet.common import (
     DEPLOYMENT,
     HANDLED_SIGNALS,
@@ -31,8 +31,10 @@
 from coltsfootspar.fleet.peers import send_single_request
 from coltsfootspar.fleet.reloading import SettingsFile
 from coltsfootspar.fleet.seats import (
+    MIN_SEATS_TO_ADMIT,
     SEAT_SERVICE_PREFIX,
     SeatMap,
+    count_expected_seats,
     create_expected_seat_map,
     create_seat_map,
     find_seat_holder,
@@ -52,8 +54,9 @@
     open_disk,
 )
 from coltsfootspar.replication.core import ReplicaCore
-from coltsfootspar.replication.identity import load_identity
+from coltsfootspar.replication.identity import load_identity, read_identity
 from coltsfootspar.replication.messages import JoinReply, JoinRequest
+from coltsfootspar.replication.state import INITIAL_INCARNATION
 from coltsfootspar.routing import create_peer_links, serve_peers
 from coltsfootspar.settings.fleet import FleetReplicaSettings
 from coltsfootspar.timers import TimerService, create_timer_service
@@ -92,7 +95,6 @@
 # Share of the descriptors for connections of nodes and other replicas. Operators may
 # take half of them; the rest is for the disk and for connections to others.
 _PEER_SHARE = 0.3
-_IDENTITY_FILE_NAME = "identity"
 
 
 class _SeatLostError(Exception):
@@ -295,22 +297,32 @@
                 await format_replica(disk, DEPLOYMENT, own_seat)
                 await save_seats(self.seats, disk)
                 return own_seat
-            if _IDENTITY_FILE_NAME in file_names:
-                # The replica is created for a given seat and checks it against the
-                # folder, so the seat must be read beforehand.
-                seat = await self._load_admitted_seat(disk)
-                if seat:
-                    return seat
+            seat = await self._load_admitted_seat(disk)
+            if seat:
+                return seat
         return await self._join()
 
     async def _load_admitted_seat(self, disk: Disk) -> str:
-        for seat in self.seats.names:
-            with contextlib.suppress(ColtsfootsparError):
-                identity = await load_identity(disk, seat, self._random)
-                if identity.is_admitted:
-                    await load_seats(self.seats, disk)
-                    return seat
-        return ""
+        """Returns the seat on the disk, and loads the map that was saved with it.
+
+        The present seeds may be fewer than the seats, or other hosts.
+
+        :returns: empty when the disk holds no seat with a vote.
+        """
+        try:
+            identity = await read_identity(disk)
+        except CorruptLogError as error:
+            logging.error("The seat on the disk cannot be read: %s", error)
+            return ""
+        if identity is None or not identity.is_admitted:
+            return ""
+        saved = await load_seats(disk)
+        is_initial = identity.incarnation == INITIAL_INCARNATION
+        if saved and is_initial and len(saved) < MIN_SEATS_TO_ADMIT:
+            self.seats.load(saved, len(saved))
+        elif saved or not self.settings.is_first_start:
+            self.seats.load(saved, count_expected_seats(self.settings.host_losses))
+        return identity.replica_id
 
     async def _join(self) -> str:
         """Requests a seat until one is offered, and serves operators meanwhile.
@@ -455,6 +467,7 @@
                 options=_REPLICA_OPTIONS,
             )
             offers.append(SeatOffers(self.seats, replica, links.reconnect))
+            await save_seats(self.seats, disk)
 
             async def handle_message(message: Message, peer: Peer) -> Message:
                 if self._lenders is not None and self._lenders.handles(message):
@@ -557,7 +570,7 @@
     seeds = list_peer_seeds(settings)
     if settings.is_first_start:
         return create_seat_map(seeds, settings.host_losses)
-    return create_expected_seat_map(len(seeds), settings.host_losses)
+    return create_expected_seat_map(settings.host_losses)
 
 
 async def _remove_files(disk: Disk) -> None:
--- a/src/coltsfootspar/fleet/seats.py
+++ b/src/coltsfootspar/fleet/seats.py
@@ -24,24 +24,25 @@
 import attrs
 
 from coltsfootspar.membership import Membership
-from coltsfootspar.settings.fleet import FleetSettings
 from coltsfootspar.wire import Address, parse_address
 
 __all__ = [
+    "MIN_SEATS_TO_ADMIT",
     "SEAT_SERVICE_PREFIX",
     "SeatMap",
+    "count_expected_seats",
     "count_seats",
     "create_expected_seat_map",
     "create_seat_map",
     "find_seat_holder",
-    "list_seats",
     "name_seats",
 ]
 
 # The holder of a seat announces this service name with the seat appended, through
 # which nodes find it.
 SEAT_SERVICE_PREFIX = "coltsfootspar-replica-"
-_MIN_SEEDS_OF_A_LARGER_CLUSTER = 3
+# A cluster of fewer seats cannot replace a lost disk.
+MIN_SEATS_TO_ADMIT = 3
 
 
 def count_seats(seeds: int, host_losses: int) -> int:
@@ -53,11 +54,22 @@
     >>> count_seats(3, 1), count_seats(3, 2), count_seats(1, 1)
     (3, 5, 1)
     """
-    if seeds < _MIN_SEEDS_OF_A_LARGER_CLUSTER:
+    if seeds < MIN_SEATS_TO_ADMIT:
         return seeds
     return max(seeds, 2 * host_losses + 1)
 
 
+def count_expected_seats(host_losses: int) -> int:
+    """Returns the least number of seats of a cluster to which hosts are admitted.
+
+    :param host_losses: hosts that may be lost at the same time.
+
+    >>> count_expected_seats(0), count_expected_seats(2)
+    (3, 5)
+    """
+    return max(MIN_SEATS_TO_ADMIT, 2 * host_losses + 1)
+
+
 def name_seats(count: int) -> tuple[str, ...]:
     """Returns the names of the seats of a cluster.
 
@@ -67,11 +79,6 @@
     return tuple(f"seat-{number}" for number in range(1, count + 1))
 
 
-def list_seats(settings: FleetSettings) -> list[str]:
-    """Lists the names of the seats of a deployment."""
-    return list(name_seats(count_seats(len(settings.seeds), settings.host_losses)))
-
-
 def find_seat_holder(seat: str, membership: Membership) -> Address | None:
     """Returns the peer address of the member that announces a seat.
 
@@ -142,6 +149,13 @@
         self.addresses.update(addresses)
         return True
 
+    def load(self, addresses: dict[str, str | None], minimum: int) -> None:
+        """Replaces the map by one that was saved.
+
+        :param minimum: number of seats that the cluster has at least.
+        """
+        self.addresses = dict.fromkeys(name_seats(minimum)) | addresses
+
     def add_holders(self, holders: dict[str, str | None]) -> None:
         """Adds seats, and holders of those whose holder is unknown.
 
@@ -166,10 +180,9 @@
     return SeatMap(dict(itertools.zip_longest(names, holders, fillvalue="")))
 
 
-def create_expected_seat_map(seeds: int, host_losses: int) -> SeatMap:
+def create_expected_seat_map(host_losses: int) -> SeatMap:
     """Creates the seat map of a host that has to learn the holders from others.
 
-    :param seeds: number of seeds at this start.
     :param host_losses: hosts that may be lost at the same time.
     """
-    return SeatMap(dict.fromkeys(name_seats(count_seats(seeds, host_losses))))
+    return SeatMap(dict.fromkeys(name_seats(count_expected_seats(host_losses))))
--- a/src/coltsfootspar/fleet/tests/test_cluster.py
+++ b/src/coltsfootspar/fleet/tests/test_cluster.py
@@ -401,6 +401,57 @@
     assert await cluster.read_version() == 2
 
 
+@pytest.mark.parametrize("seeds", [(2, 3), (3,), (1, 2, 3), (7, 8)])
+async def test_disks_hold_their_seats_whatever_the_seeds_are(cluster, seeds):
+    """Guards against a replica that asks for a seat as if it were new.
+
+    Its settings named fewer seeds than the cluster has seats, since a host had just
+    been lost, and it looked for the seat on its disk only among as many.
+    """
+    await form_cluster(cluster, 3)
+    assert (await cluster.change_routes(2, 1)).status == "applied"
+    await cluster.kill(1)
+    await cluster.start(4)
+    await trio.sleep(0.4)
+    for number in (2, 3, 4):
+        await cluster.kill(number)
+    for number in (2, 3, 4):
+        await cluster.start(number, seeds=seeds)
+    await cluster.wait_admitted(2, 3)
+    assert await cluster.read_version() == 2
+    if set(seeds) & {2, 3}:
+        await cluster.wait_admitted(4)
+    assert (await cluster.change_routes(3, 2)).status == "applied"
+
+
+async def test_single_disk_is_no_majority(cluster):
+    """Guards against a replica with one seed that takes itself for the cluster."""
+    await form_cluster(cluster, 3)
+    for number in (1, 2, 3):
+        await cluster.kill(number)
+    # Written by an earlier version for a replica that joined with one seed.
+    (cluster.get_folder(2) / "seats").unlink()
+    await cluster.start(2, seeds=(2,))
+    await cluster.wait_admitted(2)
+    with pytest.raises(ExceptionGroup) as raised:
+        await cluster._use_client(lambda client: client.read_routes(3.0))
+    assert raised.group_contains(NoQuorumError)
+    await cluster.start(3, seeds=(2,))
+    await cluster.wait_admitted(3)
+    assert await cluster.read_version() == 1
+
+
+async def test_cluster_of_one_seat_starts_again(cluster):
+    """Guards against a single replica that waits for others after a restart."""
+    await cluster.start(1, seeds=(1,), is_first=True)
+    await cluster.wait_admitted(1)
+    assert (await cluster.change_routes(1, 0)).status == "applied"
+    await cluster.kill(1)
+    await cluster.start(1, seeds=(1,))
+    await cluster.wait_admitted(1)
+    assert await cluster.read_version() == 1
+
+
 async def test_each_holder_of_a_new_cluster_is_recorded(cluster):
     """Guards against a host that joins and learns only of the seats given anew."""
     await form_cluster(cluster, 3)
--- a/src/coltsfootspar/fleet/tests/test_offers.py
+++ b/src/coltsfootspar/fleet/tests/test_offers.py
@@ -48,7 +48,7 @@
 async def test_seat_with_an_unknown_holder_is_not_offered(autojump_clock):
     """Guards against a leader that gives seats away since it was admitted lately."""
     offers = create_offers({"seat-1": "10.0.0.1:7620"})
-    offers._map = create_expected_seat_map(3, host_losses=2)
+    offers._map = create_expected_seat_map(host_losses=2)
     join = JoinRequest("10.0.0.6:7620", "core-6")
     assert offers.handle_join(join).replica_id == ""
     offers._map.add_holders({"seat-4": "", "seat-5": "10.0.0.5:7620"})
--- a/src/coltsfootspar/replication/identity.py
+++ b/src/coltsfootspar/replication/identity.py
@@ -18,6 +18,7 @@
     "load_ballot",
     "load_document",
     "load_identity",
+    "read_identity",
     "save_ballot",
     "save_document",
     "save_identity",
@@ -116,6 +117,17 @@
     return identity
 
 
+async def read_identity(disk: Disk) -> ReplicaIdentity | None:
+    """Reads the identity without changing anything.
+
+    :returns: None when the folder has none.
+    :raises CorruptLogError: when the file is damaged.
+    """
+    if _IDENTITY_NAME not in await disk.list_files():
+        return None
+    return ReplicaIdentity(**await load_document(disk, _IDENTITY_NAME))
+
+
 async def save_identity(disk: Disk, identity: ReplicaIdentity) -> None:
     """Persists the identity."""
     await save_document(disk, _IDENTITY_NAME, attrs.asdict(identity))
