Connect to the host that a seat is offered to, not to its former holder

With two possible addresses tried in turn, a leader that could not reach the host to which a seat had just been offered, since it was not listening yet, connected to the former holder again, which was still stopping, and stayed there: the seat was handed over only once that process had ended. test_planned_stop_hands_the_seat_over[follower] failed in 1 of 1 and 3 of 6 runs beside other load, with the address of the former holder in the state.

While an offer is open, its host is the only address.

--- a/src/coltsfootspar/fleet/offers.py
+++ b/src/coltsfootspar/fleet/offers.py
@@ -95,10 +95,12 @@
 
         :returns: the host of an open offer, else the holder; empty when unknown.
         """
+        return self.find_offered(seat) or self._map.addresses.get(seat) or ""
+
+    def find_offered(self, seat: str) -> str:
+        """Returns the address of the host to which a seat is offered, if to any."""
         offered_to, expires_at = self._offers.get(seat, ("", 0.0))
-        if offered_to and expires_at > trio.current_time():
-            return offered_to
-        return self._map.addresses.get(seat) or ""
+        return offered_to if expires_at > trio.current_time() else ""
 
     def _offer_seat(self, request: JoinRequest) -> str:
         now = trio.current_time()
--- a/src/coltsfootspar/fleet/replica.py
+++ b/src/coltsfootspar/fleet/replica.py
@@ -354,11 +354,11 @@
             return offers[0].find_address(name) if offers else ""
 
         def list_addresses(name: str) -> tuple[Address | None, ...]:
-            text = find_address_text(name)
-            return (
-                parse_address(text) if text else None,
-                find_seat_holder(name, self.membership),
-            )
+            offered = offers[0].find_offered(name) if offers else ""
+            if offered:
+                # A connection to the former holder would keep the new one waiting.
+                return (parse_address(offered),)
+            return self._list_holder_addresses(name)
 
         identity = create_fleet_identity(settings, seat, "replica")
         resolver = create_holder_resolver(list_addresses)
--- a/src/coltsfootspar/fleet/tests/test_offers.py
+++ b/src/coltsfootspar/fleet/tests/test_offers.py
@@ -78,6 +78,8 @@
     assert decode_join_reply(encode_join_reply(offer)) == offer
     assert moved == ["seat-2"]
     assert offers.find_address("seat-2") == "10.0.0.6:7620"
+    assert offers.find_offered("seat-2") == "10.0.0.6:7620"
+    assert offers.find_offered("seat-4") == ""
     await trio.sleep(1.5)
     # The first reply was lost.
     assert offers.handle_join(join).has_left
