--- a/src/coltsfootspar/relay/client.py
+++ b/src/coltsfootspar/relay/client.py
@@ -43,6 +43,8 @@
 _FIRST_FINAL_STATUS = 200
 MAX_RESPONSE_HEAD_BYTES = 65_536
 MAX_INTERIM_RESPONSES = 16
+# Most responses to earlier requests that are skipped before one to the present request.
+MAX_EARLIER_RESPONSES = 16
 # Most bytes that are received at once of a body while the process holds much.
 _CROWDED_RECEIVE_BYTES = 8_192
 
@@ -213,7 +215,7 @@
         self, request: OutgoingRequest, buffer_bytes: int
     ) -> Response:
         messages = self._reader.messages
-        interim_responses = 0
+        interim_responses = earlier_responses = 0
         is_first = not self.has_served_request
         while True:
             while not messages or not messages[0].has_head:
@@ -243,6 +245,11 @@
             if not response.is_complete:
                 text = "the response echoes the id of another request"
                 raise TransferError(text, may_have_run=True, code="other-response")
+            earlier_responses += 1
+            if earlier_responses > MAX_EARLIER_RESPONSES:
+                text = "too many responses echo ids of other requests"
+                raise TransferError(text, may_have_run=True, code="other-response")
+            await trio.lowlevel.checkpoint()
 
     async def _buffer_body(self, response: Response, limit: int) -> None:
         """Reads a body until it is complete or longer than a limit.
--- a/src/coltsfootspar/relay/tests/test_endless.py
+++ b/src/coltsfootspar/relay/tests/test_endless.py
@@ -1,5 +1,9 @@
 """Tests of backend servers and callers that send bytes without end."""
 
+import contextlib
+import os
+import socket
+
 import attrs
 import pytest
 import trio
@@ -141,3 +145,51 @@
         reader.feed(b"GET / HTTP/1.1\r\nHost: a\r\nX: " + b"x" * 500 + b"\r\n\r\n")
     assert len(reader.messages) == 2_000
     assert attrs.asdict(reader.messages[-1])["has_head"]
+
+
+EARLIER_ANSWER = b"HTTP/1.1 503 Busy\r\n%s: %s\r\nContent-Length: 0\r\n\r\n"
+# Far more than is read before the connection is given up.
+FLOOD_BYTES = 16 << 20
+
+
+def create_id_line(request_id):
+    return f"{NAMES.request_id.decode()}: {request_id}\r\n"
+
+
+def flood(sock, answer, sent):
+    """Repeats an answer until the peer closes, as fast as the system takes it."""
+    data = answer * (65_536 // len(answer))
+    with contextlib.suppress(OSError):
+        while sum(sent) < FLOOD_BYTES:
+            sent.append(sock.send(data))
+    sock.close()
+
+
+async def test_endless_answers_to_earlier_requests_end_the_connection(harness):
+    """Guards against a node that does nothing but skip the answers of one server.
+
+    They come from a thread, so that data is there each time the node asks for it.
+    """
+    sent, threads = [], []
+
+    async def script(stream, head):
+        request_id = head.split(NAMES.request_id + b": ")[1].split(b"\r\n")[0]
+        if not threads:
+            answer = EARLIER_ANSWER % (NAMES.request_id, request_id)
+            threads.append(answer)
+            await stream.send_all(answer)
+            return
+        sock = socket.socket(fileno=os.dup(stream.socket.fileno()))
+        sock.setblocking(True)
+        arguments = (sock, threads[0], sent)
+        await trio.to_thread.run_sync(flood, *arguments, abandon_on_cancel=True)
+
+    server = await harness.add_server(script)
+    await harness.add_node("n1", server.address)
+    route = create_route(repetition=Repetition.ONCE, timeout=20.0)
+    harness.routes.table = RouteTable(1, 0, (route,), (Service("wallet", 9),))
+    _, _, entry = await harness.add_entry_node()
+    await send_and_read(entry, encode_post(b"pay", create_id_line("r1")))
+    answer = await send_and_read(entry, encode_post(b"pay", create_id_line("r2")))
+    assert answer.startswith(b"HTTP/1.1 502")
+    assert sum(sent) < FLOOD_BYTES // 2
