--- a/src/coltsfootspar/fleet/control.py
+++ b/src/coltsfootspar/fleet/control.py
@@ -25,6 +25,7 @@
 from coltsfootspar.replication import ChangeStatus, ReplaceRoutes, ReplicationClient
 from coltsfootspar.replication.commands import MAX_COMMAND_BYTES
 from coltsfootspar.routes import check_routes, encode_routes
+from coltsfootspar.wire import Address
 
 __all__ = ["ControlHandler", "NodeControl", "ReplicaControl", "create_control_handler"]
 
@@ -109,11 +110,13 @@
     """Applies the status reports of the local backend server.
 
     :param service: service of the local node.
+    :param _own_addresses: listeners of the local node, which are no backend server.
     """
 
     _backend: BackendServer
     _service: str
     _departures: DepartureRecorder
+    _own_addresses: frozenset[Address] = frozenset()
 
     async def serve(self, request: ControlRequest) -> ControlResponse:
         """Serves one request."""
@@ -127,6 +130,13 @@
                         expected=self._service,
                     )
                     return create_error_response(422, "report is for another service")
+                if request.address in self._own_addresses:
+                    log_decision(
+                        "report-rejected",
+                        instance=request.instance_id,
+                        address=str(request.address),
+                    )
+                    return create_error_response(422, "address is one of the node")
                 return await self._apply_report(request)
             case BackendDeparture():
                 return await self._apply_departure(request)
--- a/src/coltsfootspar/fleet/node.py
+++ b/src/coltsfootspar/fleet/node.py
@@ -431,9 +431,17 @@
         source,
     )
     departures = create_departure_recorder(settings.id, client, backend)
-    control = create_control_handler(
-        adapter, NodeControl(backend, settings.service, departures).serve
+    own_addresses = frozenset(
+        {
+            settings.inbound,
+            settings.outbound,
+            settings.ready,
+            settings.control,
+            Address(settings.host, settings.metrics_port),
+        }
     )
+    node_control = NodeControl(backend, settings.service, departures, own_addresses)
+    control = create_control_handler(adapter, node_control.serve)
     count = ConnectionCount(settings.limits.descriptors)
     node = FleetNode(
         settings_file=settings_file,
