Count a seat whose holder is unknown as held when shares of limits are reserved

A leader reserves the fallback share of each lender that may exist. The new test failed before and passes now, as do those of fleet and quotas (105).

--- a/src/coltsfootspar/fleet/seats.py
+++ b/src/coltsfootspar/fleet/seats.py
@@ -130,8 +130,8 @@
         return [parse_address(text) for text in self.addresses.values() if text]
 
     def list_held(self) -> list[str]:
-        """Returns the names of the seats that have a known holder."""
-        return [seat for seat, address in self.addresses.items() if address]
+        """Returns the names of the seats that may have a holder, known or not."""
+        return [seat for seat, address in self.addresses.items() if address != ""]
 
     def update(self, addresses: dict[str, str], index: int) -> bool:
         """Takes over the committed holders unless later ones are known.
--- a/src/coltsfootspar/fleet/tests/test_offers.py
+++ b/src/coltsfootspar/fleet/tests/test_offers.py
@@ -58,6 +58,13 @@
     assert reply.holders["seat-2"] is None
 
 
+def test_seat_with_an_unknown_holder_counts_as_held():
+    """Guards against a leader that lends the share of a holder that is cut off."""
+    seats = create_expected_seat_map(host_losses=1)
+    seats.add_holders({"seat-1": "10.0.0.1:7620", "seat-3": ""})
+    assert seats.list_held() == ["seat-1", "seat-2"]
+
+
 async def test_seat_of_a_recent_admission_is_not_offered(autojump_clock):
     """Guards against a new leader that gives a seat away from its working holder."""
     offers = create_offers({"seat-4": "10.0.0.4:7620"})
